--- /dev/null
+++ b/src/monsoonhinge/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, traces and measurements."""
--- /dev/null
+++ b/src/monsoonhinge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/monsoonhinge/config/__init__.py
@@ -0,0 +1,1 @@
+"""Named configuration objects: models, whole-set check, differences."""
--- /dev/null
+++ b/src/monsoonhinge/config/delta.py
@@ -0,0 +1,37 @@
+"""Differences between two sets of encoded objects."""
+
+from collections.abc import Mapping
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """Change from one set to another.
+
+    Attributes:
+        upserts: Canonical objects that are new or changed, by id.
+        deletes: Ids of objects that are gone.
+    """
+
+    upserts: dict[str, bytes]
+    deletes: list[str]
+
+    @classmethod
+    def between(
+        cls, old: Mapping[str, bytes], new: Mapping[str, bytes]
+    ) -> "Delta":
+        """Returns the difference of two sets of canonical objects."""
+        return cls(
+            upserts={
+                key: data for key, data in new.items() if old.get(key) != data
+            },
+            deletes=[key for key in old if key not in new],
+        )
+
+    def apply(self, objects: Mapping[str, bytes]) -> dict[str, bytes]:
+        """Returns the set after this change."""
+        result = dict(objects)
+        for key in self.deletes:
+            result.pop(key, None)
+        result.update(self.upserts)
+        return result
--- /dev/null
+++ b/src/monsoonhinge/config/schema.py
@@ -0,0 +1,236 @@
+"""Named configuration objects as operators write them."""
+
+import json
+from typing import Annotated, Any, Literal
+
+import pydantic
+
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
+]
+Positive = Annotated[int, pydantic.Field(gt=0)]
+PositiveFloat = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+Weight = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+
+
+class Object(pydantic.BaseModel):
+    """Base of all objects; unknown fields are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    name: Name
+
+
+class ModelVersion(pydantic.BaseModel):
+    """One version of a model's checkpoint.
+
+    Attributes:
+        version: Version name.
+        weights_bytes: Accelerator memory of the weights.
+        load_s: Load time from the weight store at full speed, in seconds.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    version: Name
+    weights_bytes: Positive
+    load_s: PositiveFloat
+
+
+class Model(Object):
+    """A model that engines can load.
+
+    Attributes:
+        versions: Known versions.
+        current: Version that serves requests.
+        kv_bytes_per_replica: Memory reserved for the KV cache of a replica.
+        adapter_slot_bytes: Memory reserved per replica for adapters.
+        min_replicas: Replicas kept loaded while idle.
+        max_replicas: Most replicas at a time.
+        max_concurrency: Most requests at a time on a replica.
+    """
+
+    kind: Literal["model"] = "model"
+    versions: Annotated[list[ModelVersion], pydantic.Field(min_length=1)]
+    current: Name
+    kv_bytes_per_replica: Annotated[int, pydantic.Field(ge=0)]
+    adapter_slot_bytes: Annotated[int, pydantic.Field(ge=0)] = 0
+    min_replicas: Annotated[int, pydantic.Field(ge=0)] = 0
+    max_replicas: Positive = 1
+    max_concurrency: Positive = 16
+
+    def version(self, name: str = "") -> ModelVersion | None:
+        """Returns a version, by default the current one."""
+        wanted = name or self.current
+        for candidate in self.versions:
+            if candidate.version == wanted:
+                return candidate
+        return None
+
+
+class Adapter(Object):
+    """An adapter of a model.
+
+    Attributes:
+        model: Model it belongs to.
+        bytes: Accelerator memory while loaded.
+    """
+
+    kind: Literal["adapter"] = "adapter"
+    model: Name
+    bytes: Positive
+
+
+class Team(Object):
+    """A customer's team.
+
+    Attributes:
+        tokens_per_s: Token rate over all VMs together.
+        burst_tokens: Tokens that may be spent at once.
+        weight: Share of capacity when teams compete.
+    """
+
+    kind: Literal["team"] = "team"
+    tokens_per_s: PositiveFloat
+    burst_tokens: Positive
+    weight: PositiveFloat = 1.0
+
+
+class Key(Object):
+    """A caller key; only its keyed hash is known.
+
+    Attributes:
+        team: Team it belongs to.
+        hash: Hexadecimal HMAC-SHA256 of the key under the key secret.
+    """
+
+    kind: Literal["key"] = "key"
+    team: Name
+    hash: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Route(Object):
+    """A name under which callers reach a model, an adapter or a service.
+
+    Attributes:
+        model: Model served, unless an adapter or a service is named.
+        adapter: Adapter served.
+        service: Plain service served.
+        teams: Teams allowed.
+        open_team: Team as which requests without a key run.
+        max_timeout_s: Longest deadline a caller may ask for, in seconds.
+        max_body_bytes: Largest request body.
+        max_output_tokens: Output tokens charged when the caller sets none.
+        priority: Priority at the engine; higher runs first.
+    """
+
+    kind: Literal["route"] = "route"
+    model: Name | None = None
+    adapter: Name | None = None
+    service: Name | None = None
+    teams: list[Name] = []
+    open_team: Name | None = None
+    max_timeout_s: PositiveFloat = 60.0
+    max_body_bytes: Positive = 1024 * 1024
+    max_output_tokens: Positive = 256
+    priority: int = 0
+
+
+class NonRepeatable(pydantic.BaseModel):
+    """Calls of a service that run at most once."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    method: Annotated[str, pydantic.Field(pattern=r"^[A-Z]+$")]
+    path_prefix: Annotated[str, pydantic.Field(pattern=r"^/")]
+
+
+class Service(Object):
+    """A plain HTTP service beside the engines.
+
+    Attributes:
+        non_repeatable: Calls that run at most once.
+        max_recorded_answer_bytes: Largest answer kept for a repeated call.
+        call_tokens: Tokens charged per call.
+    """
+
+    kind: Literal["service"] = "service"
+    non_repeatable: list[NonRepeatable] = []
+    max_recorded_answer_bytes: Annotated[
+        int, pydantic.Field(gt=0, le=1024 * 1024)
+    ] = 64 * 1024
+    call_tokens: Annotated[int, pydantic.Field(ge=0)] = 1
+
+
+class Store(Object):
+    """Limits of the weight store.
+
+    Attributes:
+        loads_per_s: Loads that may start per second.
+        concurrent_loads: Loads at a time that run at full speed.
+        concurrent_adapter_loads: Adapter loads in flight over the fleet.
+    """
+
+    kind: Literal["store"] = "store"
+    loads_per_s: PositiveFloat
+    concurrent_loads: Positive = 4
+    concurrent_adapter_loads: Positive = 30
+
+
+class Policy(Object):
+    """What the operator weighs when replicas are kept or unloaded.
+
+    Attributes:
+        cold_start_weight: Cost of a second that a caller waits for a load.
+        idle_weight: Cost of a second of an idle accelerator.
+        min_keep_s: Shortest time a replica stays after its last request.
+        max_keep_s: Longest time a replica stays without a request.
+    """
+
+    kind: Literal["policy"] = "policy"
+    cold_start_weight: Weight = 1.0
+    idle_weight: Weight = 1.0
+    min_keep_s: PositiveFloat = 5.0
+    max_keep_s: PositiveFloat = 3600.0
+
+
+ConfigObject = Annotated[
+    Model | Adapter | Team | Key | Route | Service | Store | Policy,
+    pydantic.Field(discriminator="kind"),
+]
+
+_ADAPTER: pydantic.TypeAdapter[Any] = pydantic.TypeAdapter(ConfigObject)
+
+AnyObject = Model | Adapter | Team | Key | Route | Service | Store | Policy
+
+
+def object_id(item: AnyObject) -> str:
+    """Returns ``kind/name``, the id of an object within a set."""
+    return f"{item.kind}/{item.name}"
+
+
+def parse(document: Any) -> AnyObject:
+    """Validates one decoded JSON object.
+
+    Raises:
+        pydantic.ValidationError: The object is invalid.
+    """
+    item: AnyObject = _ADAPTER.validate_python(document)
+    return item
+
+
+def parse_json(data: bytes) -> AnyObject:
+    """Validates one object encoded as JSON.
+
+    Raises:
+        pydantic.ValidationError: The object is invalid.
+    """
+    item: AnyObject = _ADAPTER.validate_json(data)
+    return item
+
+
+def canonical(item: AnyObject) -> bytes:
+    """Encodes an object so that equal objects have equal bytes."""
+    return json.dumps(
+        item.model_dump(mode="json"), sort_keys=True, separators=(",", ":")
+    ).encode()
--- /dev/null
+++ b/src/monsoonhinge/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: Raft core, storage and the driver around them."""
--- /dev/null
+++ b/src/monsoonhinge/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: replicated state machine, leases and its client."""
--- /dev/null
+++ b/src/monsoonhinge/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in targets: a model engine and a plain service."""
--- /dev/null
+++ b/src/monsoonhinge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers: admission, queues, routing, forwarding."""
--- /dev/null
+++ b/src/monsoonhinge/gateway/refusal.py
@@ -0,0 +1,79 @@
+"""The one error format that callers get."""
+
+import json
+import math
+from typing import Any, Literal
+
+from aiohttp import web
+
+from monsoonhinge.runtime import errors
+
+NotRun = Literal[True, False, "unknown"]
+
+
+class Refusal(errors.MonsoonhingeError):
+    """An answer that refuses a request.
+
+    Attributes:
+        status: HTTP status.
+        code: Machine-readable reason.
+        not_run: True only if the request has not run and will not run.
+        retry_after_s: When a retry is useful, or None.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        code: str,
+        not_run: NotRun = True,
+        retry_after_s: float | None = None,
+        step: str = "",
+        peer: str = "",
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.message = message
+        self.status = status
+        self.code = code
+        self.not_run = not_run
+        self.retry_after_s = retry_after_s
+
+    def document(self, request_id: str) -> dict[str, Any]:
+        """Returns the JSON document of the refusal."""
+        return {
+            "error": {
+                "code": self.code,
+                "message": self.message,
+                "type": _error_type(self.status),
+                "request_id": request_id,
+                "not_run": self.not_run,
+                "retry_after_s": self.retry_after_s,
+            }
+        }
+
+    def response(self, request_id: str) -> web.Response:
+        """Returns the HTTP response."""
+        headers = {"X-Request-Id": request_id}
+        if self.retry_after_s is not None:
+            headers["Retry-After"] = str(math.ceil(self.retry_after_s))
+        return web.Response(
+            status=self.status,
+            body=json.dumps(self.document(request_id)).encode(),
+            content_type="application/json",
+            headers=headers,
+        )
+
+
+def _error_type(status: int) -> str:
+    match status:
+        case 401:
+            return "authentication_error"
+        case 403:
+            return "permission_error"
+        case 429:
+            return "rate_limit_error"
+        case _ if status < 500:
+            return "invalid_request_error"
+        case _:
+            return "server_error"
--- /dev/null
+++ b/src/monsoonhinge/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes and their transport."""
--- /dev/null
+++ b/src/monsoonhinge/protocol/connection.py
@@ -0,0 +1,515 @@
+"""Requests, replies and notifications over one TCP connection."""
+
+import asyncio
+import dataclasses
+import logging
+import os
+import random
+import typing
+from typing import TypeVar
+
+from monsoonhinge.protocol import codec
+from monsoonhinge.protocol import frames
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+
+PROTOCOL_VERSION = 1
+HANDSHAKE_TIMEOUT_S = 5.0
+
+# A peer that does not read is disconnected instead of filling memory.
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+
+_RECONNECT_MIN_S = 0.05
+_RECONNECT_MAX_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+_Reply = TypeVar("_Reply")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """How a process introduces itself.
+
+    Attributes:
+        node: Name from the settings.
+        role: ``control``, ``scheduler``, ``gateway`` or ``operator``.
+        incarnation: Number that differs between two starts of the process.
+        secret: Cluster secret.
+    """
+
+    node: str
+    role: str
+    incarnation: int
+    secret: bytes
+
+
+class Handler(typing.Protocol):
+    """Receives what happens on a connection."""
+
+    def connected(self, connection: "Connection") -> None:
+        """Called once both sides have authenticated."""
+
+    def disconnected(self, connection: "Connection") -> None:
+        """Called once when an authenticated connection has ended."""
+
+    async def handle(
+        self, connection: "Connection", message: messages.Message
+    ) -> messages.Message | None:
+        """Answers a request; the result for a notification is ignored.
+
+        A raised MonsoonhingeError becomes an Error reply.
+        """
+
+
+class Connection(asyncio.Protocol):
+    """One authenticated connection.
+
+    Attributes:
+        peer: Address of the other side.
+        remote: Its hello; empty until ``ready``.
+        ready: Whether both sides have authenticated.
+    """
+
+    def __init__(
+        self, *, identity: Identity, handler: Handler, client: bool
+    ) -> None:
+        self.peer = ""
+        self.remote = messages.Hello()
+        self.ready = False
+        self.ready_event = asyncio.Event()
+        self._identity = identity
+        self._handler = handler
+        self._client = client
+        self._transport: asyncio.Transport | None = None
+        self._splitter = frames.Splitter(peer="")
+        self._hello = b""
+        self._send: frames.Seal | None = None
+        self._receive: frames.Seal | None = None
+        self._pending: dict[int, asyncio.Future[messages.Message]] = {}
+        self._next_id = 1
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._handshake_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the hello."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        host, port = transport.get_extra_info("peername")[:2]
+        self.peer = f"{host}:{port}"
+        self._splitter.peer = self.peer
+        self._hello = codec.encode(
+            codec.Envelope(
+                id=0,
+                reply=False,
+                body=messages.Hello(
+                    version=PROTOCOL_VERSION,
+                    node=self._identity.node,
+                    role=self._identity.role,
+                    incarnation=self._identity.incarnation,
+                    nonce=os.urandom(frames.NONCE_BYTES),
+                ),
+            )
+        )
+        self._transport.write(frames.frame(self._hello))
+        loop = asyncio.get_running_loop()
+        self._handshake_timer = loop.call_later(
+            HANDSHAKE_TIMEOUT_S, self._check_handshake
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails what is pending."""
+        if self._handshake_timer is not None:
+            self._handshake_timer.cancel()
+        was_ready, self.ready = self.ready, False
+        self.ready_event.set()
+        for future in self._pending.values():
+            if not future.done():
+                future.set_exception(
+                    errors.ConnectionLost(
+                        "connection lost", step="await reply", peer=self.peer
+                    )
+                )
+        self._pending.clear()
+        if was_ready:
+            self._handler.disconnected(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handles all frames that are complete."""
+        try:
+            for payload in self._splitter.feed(data):
+                self._receive_frame(payload)
+        except errors.ProtocolError as error:
+            _LOG.warning(
+                "closing connection: %s",
+                error,
+                extra={"step": error.step, "peer": self.peer},
+            )
+            self.abort()
+
+    async def request(
+        self,
+        message: messages.Message,
+        reply_type: type[_Reply],
+        *,
+        timeout: float,
+    ) -> _Reply:
+        """Sends a request and returns its reply.
+
+        Args:
+            message: The request.
+            reply_type: Class of the reply.
+            timeout: Seconds to wait.
+
+        Raises:
+            errors.ConnectionLost: The connection ended first. The peer may
+                have handled the request.
+            errors.RequestTimeout: No reply came in time. The peer may have
+                handled the request.
+            errors.RemoteError: The peer answered with an error.
+        """
+        step = type(message).__name__
+        request_id = self._next_id
+        self._next_id += 1
+        future: asyncio.Future[messages.Message] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending[request_id] = future
+        try:
+            self._write(
+                codec.Envelope(id=request_id, reply=False, body=message)
+            )
+            async with asyncio.timeout(timeout):
+                reply = await future
+        except TimeoutError as error:
+            raise errors.RequestTimeout(
+                f"no reply within {timeout:.3f} s", step=step, peer=self.peer
+            ) from error
+        finally:
+            self._pending.pop(request_id, None)
+        if isinstance(reply, messages.Error):
+            raise errors.RemoteError(
+                reply.message,
+                code=reply.code,
+                leader=reply.leader,
+                step=step,
+                peer=self.peer,
+            )
+        if not isinstance(reply, reply_type):
+            raise errors.ProtocolError(
+                f"unexpected reply {type(reply).__name__}",
+                step=step,
+                peer=self.peer,
+            )
+        return reply
+
+    def notify(self, message: messages.Message) -> None:
+        """Sends a message that has no reply.
+
+        Raises:
+            errors.ConnectionLost: The connection is not usable.
+        """
+        self._write(codec.Envelope(id=0, reply=False, body=message))
+
+    def abort(self) -> None:
+        """Closes the connection at once and discards unsent bytes."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def wait_ready(self) -> None:
+        """Waits for the end of the handshake.
+
+        Raises:
+            errors.ConnectionLost: The handshake failed.
+        """
+        await self.ready_event.wait()
+        if not self.ready:
+            raise errors.ConnectionLost(
+                "handshake failed", step="handshake", peer=self.peer
+            )
+
+    def _write(self, envelope: codec.Envelope) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._send is None:
+            raise errors.ConnectionLost(
+                "not connected",
+                step=type(envelope.body).__name__,
+                peer=self.peer,
+            )
+        transport.write(frames.frame(self._send.seal(codec.encode(envelope))))
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            _LOG.warning(
+                "closing connection: peer does not read",
+                extra={"step": "write", "peer": self.peer},
+            )
+            transport.abort()
+
+    def _receive_frame(self, payload: bytes) -> None:
+        if self._receive is None:
+            self._receive_hello(payload)
+            return
+        envelope = codec.decode(self._receive.open(payload, peer=self.peer))
+        if not self.ready:
+            self._finish_handshake(envelope.body)
+        elif envelope.reply:
+            future = self._pending.get(envelope.id)
+            if future is not None and not future.done():
+                future.set_result(envelope.body)
+        else:
+            task = asyncio.get_running_loop().create_task(
+                self._dispatch(envelope)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _receive_hello(self, payload: bytes) -> None:
+        hello = codec.decode(payload).body
+        if not isinstance(hello, messages.Hello):
+            raise errors.ProtocolError(
+                "first frame is not a hello", step="handshake", peer=self.peer
+            )
+        if hello.version != PROTOCOL_VERSION:
+            raise errors.ProtocolError(
+                f"peer speaks protocol version {hello.version}, "
+                f"this process {PROTOCOL_VERSION}",
+                step="handshake",
+                peer=self.peer,
+            )
+        self.remote = hello
+        mine, theirs = self._hello, payload
+        key = frames.session_key(
+            secret=self._identity.secret,
+            client_hello=mine if self._client else theirs,
+            server_hello=theirs if self._client else mine,
+        )
+        directions = (b"client", b"server")
+        sending, receiving = directions if self._client else directions[::-1]
+        self._send = frames.Seal(key=key, direction=sending)
+        self._receive = frames.Seal(key=key, direction=receiving)
+        self._write(
+            codec.Envelope(id=0, reply=False, body=messages.HelloProof())
+        )
+
+    def _finish_handshake(self, proof: messages.Message) -> None:
+        if not isinstance(proof, messages.HelloProof):
+            raise errors.ProtocolError(
+                "second frame is not a proof", step="handshake", peer=self.peer
+            )
+        self.ready = True
+        self.ready_event.set()
+        self._handler.connected(self)
+
+    def _check_handshake(self) -> None:
+        if not self.ready:
+            self.abort()
+
+    async def _dispatch(self, envelope: codec.Envelope) -> None:
+        step = type(envelope.body).__name__
+        reply: messages.Message | None
+        try:
+            reply = await self._handler.handle(self, envelope.body)
+        except errors.RemoteError as error:
+            reply = messages.Error(
+                code=error.code,
+                message=str(error),
+                step=error.step,
+                leader=error.leader,
+            )
+        except errors.MonsoonhingeError as error:
+            reply = messages.Error(
+                code="failed", message=str(error), step=error.step
+            )
+        except Exception:
+            _LOG.exception(
+                "handler failed", extra={"step": step, "peer": self.peer}
+            )
+            reply = messages.Error(
+                code="internal", message="internal error", step=step
+            )
+        if envelope.id == 0:
+            return
+        try:
+            self._write(
+                codec.Envelope(
+                    id=envelope.id, reply=True, body=reply or messages.Ack()
+                )
+            )
+        except errors.ConnectionLost:
+            _LOG.debug(
+                "reply not sent", extra={"step": step, "peer": self.peer}
+            )
+
+
+class Server:
+    """Accepts connections from other processes.
+
+    Attributes:
+        connections: Authenticated connections.
+    """
+
+    def __init__(self, *, identity: Identity, handler: Handler) -> None:
+        self.identity = identity
+        self.connections: set[Connection] = set()
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def start(self, *, host: str, port: int) -> None:
+        """Listens on an address."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Connection(
+                identity=self.identity, handler=self, client=False
+            ),
+            host,
+            port,
+        )
+
+    async def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def connected(self, connection: Connection) -> None:
+        """Registers an authenticated connection."""
+        self.connections.add(connection)
+        self._handler.connected(connection)
+
+    def disconnected(self, connection: Connection) -> None:
+        """Removes a connection that has ended."""
+        self.connections.discard(connection)
+        self._handler.disconnected(connection)
+
+    async def handle(
+        self, connection: Connection, message: messages.Message
+    ) -> messages.Message | None:
+        """Passes a message on to the handler."""
+        return await self._handler.handle(connection, message)
+
+
+class Peer:
+    """A connection to one address that is made again when it is lost.
+
+    Attributes:
+        host: IP address.
+        port: TCP port.
+        connection: The usable connection, if there is one.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        identity: Identity,
+        handler: Handler,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.connection: Connection | None = None
+        self._identity = identity
+        self._handler = handler
+        self._rng = rng or random.Random()
+        self._task: asyncio.Task[None] | None = None
+        self._wakeup = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """Address as ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    def start(self) -> None:
+        """Begins to connect in the background."""
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Closes the connection and stops connecting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+        if self.connection is not None:
+            self.connection.abort()
+
+    async def request(
+        self,
+        message: messages.Message,
+        reply_type: type[_Reply],
+        *,
+        timeout: float,
+    ) -> _Reply:
+        """Sends a request over the current connection.
+
+        Raises:
+            errors.ConnectionLost: There is no connection, or it was lost.
+            errors.RequestTimeout: No reply came in time.
+            errors.RemoteError: The peer answered with an error.
+        """
+        return await self._usable(message).request(
+            message, reply_type, timeout=timeout
+        )
+
+    def notify(self, message: messages.Message) -> None:
+        """Sends a notification over the current connection.
+
+        Raises:
+            errors.ConnectionLost: There is no connection.
+        """
+        self._usable(message).notify(message)
+
+    def connected(self, connection: Connection) -> None:
+        """Makes an authenticated connection the current one."""
+        self.connection = connection
+        self._handler.connected(connection)
+
+    def disconnected(self, connection: Connection) -> None:
+        """Drops the connection and wakes the task that reconnects."""
+        if self.connection is connection:
+            self.connection = None
+        self._wakeup.set()
+        self._handler.disconnected(connection)
+
+    async def handle(
+        self, connection: Connection, message: messages.Message
+    ) -> messages.Message | None:
+        """Passes a message on to the handler."""
+        return await self._handler.handle(connection, message)
+
+    def _usable(self, message: messages.Message) -> Connection:
+        if self.connection is None:
+            raise errors.ConnectionLost(
+                "not connected", step=type(message).__name__, peer=self.address
+            )
+        return self.connection
+
+    async def _run(self) -> None:
+        delay = _RECONNECT_MIN_S
+        while True:
+            self._wakeup.clear()
+            if await self._connect():
+                delay = _RECONNECT_MIN_S
+                await self._wakeup.wait()
+            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+            delay = min(delay * 2, _RECONNECT_MAX_S)
+
+    async def _connect(self) -> bool:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(
+                        identity=self._identity, handler=self, client=True
+                    ),
+                    self.host,
+                    self.port,
+                )
+                await connection.wait_ready()
+        except (OSError, TimeoutError, errors.MonsoonhingeError) as error:
+            _LOG.debug(
+                "cannot connect: %s",
+                error,
+                extra={"step": "connect", "peer": self.address},
+            )
+            return False
+        return True
--- /dev/null
+++ b/src/monsoonhinge/protocol/frames.py
@@ -0,0 +1,119 @@
+"""Length-prefixed, authenticated frames.
+
+A frame is a 4-byte big-endian length followed by that many bytes: the capnp
+message and, once the session key is known, a 16-byte authentication tag over
+direction, sequence number and message. The tag stops forged, replayed,
+reordered and reflected frames.
+"""
+
+import hashlib
+import hmac
+import struct
+
+from monsoonhinge.runtime import errors
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+TAG_BYTES = 16
+NONCE_BYTES = 16
+
+_LENGTH = struct.Struct(">I")
+_SEQUENCE = struct.Struct(">Q")
+
+
+class Splitter:
+    """Cuts a byte stream into frames.
+
+    Attributes:
+        peer: Name of the other side for errors.
+    """
+
+    def __init__(self, *, peer: str) -> None:
+        self.peer = peer
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Adds received bytes and returns the frames now complete.
+
+        Raises:
+            errors.ProtocolError: A frame announces more than MAX_FRAME_BYTES.
+        """
+        buffer = self._buffer
+        buffer += data
+        frames = []
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise errors.ProtocolError(
+                    f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}",
+                    step="read frame",
+                    peer=self.peer,
+                )
+            end = start + _LENGTH.size + length
+            if len(buffer) < end:
+                break
+            frames.append(bytes(buffer[start + _LENGTH.size : end]))
+            start = end
+        if start:
+            del buffer[:start]
+        return frames
+
+
+def frame(payload: bytes) -> bytes:
+    """Prefixes a payload with its length.
+
+    Raises:
+        errors.ProtocolError: The payload exceeds MAX_FRAME_BYTES.
+    """
+    if len(payload) > MAX_FRAME_BYTES:
+        raise errors.ProtocolError(
+            f"frame of {len(payload)} bytes exceeds {MAX_FRAME_BYTES}",
+            step="write frame",
+        )
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class Seal:
+    """Authenticates the frames of one direction of a connection."""
+
+    def __init__(self, *, key: bytes, direction: bytes) -> None:
+        self._base = hmac.new(key, direction, hashlib.sha256)
+        self._sequence = 0
+
+    def seal(self, payload: bytes) -> bytes:
+        """Appends the tag for the next frame."""
+        return payload + self._next_tag(payload)
+
+    def open(self, sealed: bytes, *, peer: str) -> bytes:
+        """Checks and strips the tag of the next frame.
+
+        Raises:
+            errors.ProtocolError: The tag does not match.
+        """
+        payload, tag = sealed[:-TAG_BYTES], sealed[-TAG_BYTES:]
+        if not hmac.compare_digest(tag, self._next_tag(payload)):
+            raise errors.ProtocolError(
+                "authentication tag does not match; is the cluster secret "
+                "the same on both sides?",
+                step="authenticate",
+                peer=peer,
+            )
+        return payload
+
+    def _next_tag(self, payload: bytes) -> bytes:
+        mac = self._base.copy()
+        mac.update(_SEQUENCE.pack(self._sequence))
+        mac.update(payload)
+        self._sequence += 1
+        return mac.digest()[:TAG_BYTES]
+
+
+def session_key(
+    *, secret: bytes, client_hello: bytes, server_hello: bytes
+) -> bytes:
+    """Derives the session key from the secret and both hello payloads."""
+    transcript = (
+        hashlib.sha256(client_hello).digest()
+        + hashlib.sha256(server_hello).digest()
+    )
+    return hmac.new(secret, transcript, hashlib.sha256).digest()
--- /dev/null
+++ b/src/monsoonhinge/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every process has: settings, logs, operations server, drain."""
--- /dev/null
+++ b/src/monsoonhinge/runtime/service.py
@@ -0,0 +1,142 @@
+"""Start, graceful stop and exit codes of a process."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import logging
+import pathlib
+import signal
+import sys
+import time
+import typing
+from typing import Annotated, Any, TypeVar
+
+import aiomisc
+import cappa
+
+from monsoonhinge.protocol import connection
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import logs
+from monsoonhinge.runtime import ops
+from monsoonhinge.runtime import settings
+
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+_LOG = logging.getLogger(__name__)
+
+_Settings = TypeVar("_Settings", bound=settings.Process)
+
+
+class Process(ops.Inspectable, typing.Protocol):
+    """A process that ``run`` starts and stops."""
+
+    async def start(self) -> None:
+        """Starts listening and connecting."""
+
+    async def finish(self) -> None:
+        """Waits until draining is complete; called after ``drain``."""
+
+    async def stop(self) -> None:
+        """Closes everything."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Options:
+    """Command-line options that every binary takes.
+
+    Attributes:
+        settings: Path of the JSON settings file.
+        check: Validate the settings, print the result and exit.
+    """
+
+    settings: Annotated[
+        pathlib.Path, cappa.Arg(long=True, help="JSON settings file")
+    ]
+    check: Annotated[
+        bool, cappa.Arg(long=True, help="Validate the settings and exit")
+    ] = False
+
+
+def identity(config: settings.Process, role: str) -> connection.Identity:
+    """Returns how this start of the process introduces itself."""
+    return connection.Identity(
+        node=config.node,
+        role=role,
+        incarnation=time.time_ns(),
+        secret=config.cluster_secret.encode(),
+    )
+
+
+def run(
+    *,
+    role: str,
+    options: Options,
+    model: type[_Settings],
+    factory: Callable[[_Settings], Process],
+) -> None:
+    """Runs a process until it is stopped; ends with ``sys.exit``.
+
+    Args:
+        role: Role for logs.
+        options: Parsed command-line options.
+        model: Settings model.
+        factory: Makes the process from its settings, inside the loop.
+    """
+    try:
+        config = settings.read(options.settings, model)
+    except errors.SettingsError as error:
+        for problem in error.problems:
+            print(f"{options.settings}: {problem}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if options.check:
+        print(f"{options.settings}: ok")
+        sys.exit(0)
+    logs.configure(node=config.node, role=role, level=config.log_level)
+    with aiomisc.entrypoint(log_config=False, pool_size=2) as loop:
+        code = loop.run_until_complete(_supervise(config, factory))
+    sys.exit(code)
+
+
+async def _supervise(
+    config: _Settings, factory: Callable[[_Settings], Process]
+) -> int:
+    process = factory(config)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def begin_stop() -> None:
+        process.drain()
+        stopping.set()
+
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, begin_stop)
+    operations = ops.Operations(process=_Drainable(process, begin_stop))
+    try:
+        await operations.start(config.operations)
+        await process.start()
+        _LOG.info("started")
+        await stopping.wait()
+        _LOG.info("draining")
+        async with asyncio.timeout(config.drain_timeout_s):
+            await process.finish()
+    except TimeoutError:
+        _LOG.error("drain timed out; remaining work is cut")
+        return EXIT_FAILED
+    except (OSError, errors.MonsoonhingeError) as error:
+        _LOG.error("stopping: %s", error)
+        return EXIT_FAILED
+    finally:
+        await process.stop()
+        await operations.stop()
+    _LOG.info("stopped")
+    return 0
+
+
+class _Drainable:
+    """A process whose drain request also stops the supervisor."""
+
+    def __init__(self, process: Process, drain: Callable[[], None]) -> None:
+        self.ready = process.ready
+        self.dump: Callable[[], dict[str, Any]] = process.dump
+        self.drain = drain
--- /dev/null
+++ b/src/monsoonhinge/runtime/settings.py
@@ -0,0 +1,146 @@
+"""Validated JSON settings of each process."""
+
+import ipaddress
+import json
+import pathlib
+from typing import Annotated, Literal, TypeVar
+
+import pydantic
+
+from monsoonhinge.runtime import errors
+
+_MIN_SECRET_CHARS = 16
+
+
+class Strict(pydantic.BaseModel):
+    """Base of settings models: unknown fields are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Address(Strict):
+    """An IP address and a TCP port."""
+
+    host: str
+    port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+
+    @pydantic.field_validator("host")
+    @classmethod
+    def _check_host(cls, value: str) -> str:
+        ipaddress.ip_address(value)
+        return value
+
+    def __str__(self) -> str:
+        """Returns ``host:port``, the host in brackets if it is IPv6."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+class Member(Strict):
+    """A control member that a process may contact."""
+
+    name: str
+    address: Address
+
+
+class Process(Strict):
+    """Settings that every process has."""
+
+    node: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
+    vm: str = ""
+    region: str = ""
+    availability_zone: Annotated[str, pydantic.Field(min_length=1)]
+    operations: Address
+    cluster_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    drain_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 120.0
+
+
+class Control(Process):
+    """Settings of ``monsoonhinge-control``.
+
+    Attributes:
+        members: Initial voters, the same list on each. A member that joins an
+            existing cluster later lists the current members and sets ``join``.
+    """
+
+    listen: Address
+    data_dir: pathlib.Path
+    members: Annotated[list[Member], pydantic.Field(min_length=1)]
+    join: bool = False
+    heartbeat_s: Annotated[float, pydantic.Field(gt=0)] = 0.1
+    election_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 0.6
+    snapshot_entries: Annotated[int, pydantic.Field(gt=0)] = 10_000
+    lease_ttl_s: Annotated[float, pydantic.Field(gt=0)] = 3.0
+    session_ttl_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    call_retention_s: Annotated[float, pydantic.Field(gt=0)] = 86_400.0
+    call_record_bytes: Annotated[int, pydantic.Field(gt=0)] = 256 * 1024 * 1024
+
+
+class Scheduler(Process):
+    """Settings of ``monsoonhinge-scheduler``."""
+
+    listen: Address
+    control: Annotated[list[Member], pydantic.Field(min_length=1)]
+    order_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 2.0
+
+
+class Gateway(Process):
+    """Settings of ``monsoonhinge-gateway``.
+
+    Attributes:
+        callers: Address on which callers are served.
+        targets: Address on which targets post their announcements.
+        key_secret: Secret under which caller keys are hashed.
+    """
+
+    callers: Address
+    targets: Address
+    control: Annotated[list[Member], pydantic.Field(min_length=1)]
+    schedulers: Annotated[list[Address], pydantic.Field(min_length=1)]
+    key_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
+    max_staleness_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
+    max_stream_staleness_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    max_waiting: Annotated[int, pydantic.Field(gt=0)] = 10_000
+    max_waiting_bytes: Annotated[int, pydantic.Field(gt=0)] = 64 * 1024 * 1024
+
+
+class Operator(Strict):
+    """Settings of the ``monsoonhinge`` command line."""
+
+    control: Annotated[list[Member], pydantic.Field(min_length=1)]
+    cluster_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
+    key_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
+    operator: str = "operator"
+
+
+_Settings = TypeVar("_Settings", bound=Strict)
+
+
+def read(path: pathlib.Path, model: type[_Settings]) -> _Settings:
+    """Reads and validates a settings file.
+
+    Raises:
+        errors.SettingsError: The file is unreadable, not JSON or invalid; it
+            lists every problem.
+    """
+    try:
+        document = json.loads(path.read_bytes())
+    except OSError as error:
+        raise errors.SettingsError(
+            [f"cannot read: {error.strerror}"], peer=str(path)
+        ) from error
+    except ValueError as error:
+        raise errors.SettingsError(
+            [f"not valid JSON: {error}"], peer=str(path)
+        ) from error
+    try:
+        return model.model_validate(document)
+    except pydantic.ValidationError as error:
+        # The rejected input is left out since it may be a secret.
+        problems = [
+            f"{'.'.join(str(part) for part in detail['loc']) or 'settings'}: "
+            f"{detail['msg']}"
+            for detail in error.errors(include_input=False, include_url=False)
+        ]
+        raise errors.SettingsError(problems, peer=str(path)) from None
--- /dev/null
+++ b/src/monsoonhinge/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which replicas run where, and holds the token buckets."""
--- /dev/null
+++ b/src/monsoonhinge/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The dialect spoken with targets."""
