--- /dev/null
+++ b/src/monsoonhinge/consensus/raft.py
@@ -0,0 +1,251 @@
+"""Sans-IO core of the replicated log.
+
+The core takes messages, proposals and the time. The caller then sends
+``take_messages()``, makes ``take_write()`` durable, reports it with
+``written()``, and applies ``take_committed()``.
+"""
+
+import random
+
+from monsoonhinge.consensus import election as raft_election
+from monsoonhinge.consensus import follower as raft_follower
+from monsoonhinge.consensus import leader as raft_leader
+from monsoonhinge.consensus import log as raft_log
+from monsoonhinge.consensus import state as raft_state
+from monsoonhinge.consensus import types
+from monsoonhinge.protocol import messages
+
+
+class Raft:
+    """One member of the cluster.
+
+    Attributes:
+        state: Term, log and pending output.
+        leadership: State of the leader while this member leads.
+    """
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        term: int,
+        vote: str,
+        snapshot: types.Snapshot,
+        entries: list[messages.Entry],
+        timing: types.Timing,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.state = raft_state.State(
+            member_id=member_id,
+            term=term,
+            vote=vote,
+            log=raft_log.Log(snapshot=snapshot, entries=entries),
+            timing=timing,
+            rng=rng,
+        )
+        self.leadership: raft_leader.Leader | None = None
+        self._election = raft_election.Election(self.state, now=now)
+        self._follower = raft_follower.Follower(self.state)
+        self._failed_reads: list[int] = []
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads its term."""
+        return self.leadership is not None
+
+    @property
+    def founded(self) -> bool:
+        """Whether this member has received entries of a cluster."""
+        return self.state.log.last_index > 0
+
+    def found(self, configuration: types.Configuration, now: float) -> None:
+        """Begins a new cluster; only one of its members may do so."""
+        self.state.term = 1
+        self.state.append(
+            messages.Entry(
+                index=1,
+                term=1,
+                kind=types.KIND_CONFIGURATION,
+                data=configuration.encode(),
+            )
+        )
+        self._election.start_vote(now)
+
+    def require_leadership(self, step: str) -> raft_leader.Leader:
+        """Returns the leadership state.
+
+        Raises:
+            types.NotLeader: Another member leads, or none.
+        """
+        if self.leadership is None:
+            leader = types.member_name(self.state.leader)
+            raise types.NotLeader(leader=leader, step=step)
+        return self.leadership
+
+    def tick(self, now: float) -> None:
+        """Acts on timers that have passed."""
+        if self.leadership is not None:
+            if self.leadership.has_quorum(now):
+                self.leadership.tick(now)
+            else:
+                self._become_follower(self.state.term, now)
+        elif now >= self._election.deadline:
+            if not self._election.is_voter():
+                self.state.leader = ""
+                self._election.reset_timer(now)
+            elif self._election.start_pre_vote(now):
+                self._election.start_vote(now)
+
+    def step(self, message: types.RaftMessage, now: float) -> None:
+        """Handles a message from another member.
+
+        Raises:
+            types.SafetyError: A committed entry would change.
+        """
+        match message:
+            case messages.VoteRequest():
+                self._on_vote_request(message, now)
+            case messages.VoteReply():
+                self._on_vote_reply(message, now)
+            case messages.AppendRequest() | messages.SnapshotChunk():
+                self._on_leader_message(message, now)
+            case messages.AppendReply() | messages.SnapshotReply():
+                self._on_follower_message(message, now)
+            case messages.TimeoutNow():
+                if (
+                    message.term == self.state.term
+                    and message.leader == self.state.leader
+                    and self._election.is_voter()
+                ):
+                    self._election.start_vote(now, transfer=True)
+
+    def written(self, write: types.Write, now: float) -> None:
+        """Notes that a write is durable."""
+        state = self.state
+        if state.log.term_at(write.last_index) == write.last_term:
+            state.durable = max(state.durable, write.last_index)
+        state.outbox += write.messages
+        if self.leadership is not None:
+            self.leadership.advance(now)
+            self._check_removed(now)
+        elif (
+            state.role is types.Role.CANDIDATE
+            and (write.term, write.vote) == (state.term, state.id)
+            and self._election.count(state.id)
+        ):
+            self._become_leader(now)
+        elif state.leader:
+            self._follower.written()
+
+    def take_messages(self) -> list[tuple[str, types.RaftMessage]]:
+        """Returns the messages to send, as (member id, message)."""
+        outbox, self.state.outbox = self.state.outbox, []
+        return outbox
+
+    def take_write(self) -> types.Write | None:
+        """Returns what must become durable next, or None."""
+        return self.state.take_write()
+
+    def take_committed(self, limit: int) -> types.Committed | None:
+        """Returns what the state machine must take over, or None.
+
+        Args:
+            limit: Most entries to return.
+        """
+        return self.state.take_committed(limit)
+
+    def take_reads(self) -> tuple[list[tuple[int, int]], list[int]]:
+        """Returns confirmed reads with their index, and failed reads."""
+        confirmed: list[tuple[int, int]] = []
+        if self.leadership is not None:
+            confirmed, self.leadership.reads = self.leadership.reads, []
+        failed, self._failed_reads = self._failed_reads, []
+        return confirmed, failed
+
+    def _on_vote_request(
+        self, request: messages.VoteRequest, now: float
+    ) -> None:
+        if not request.transfer and self._election.sticks_to_leader(now):
+            return
+        if not request.pre_vote and request.term > self.state.term:
+            self._become_follower(request.term, now)
+        self._election.answer(request, now)
+
+    def _on_vote_reply(self, reply: messages.VoteReply, now: float) -> None:
+        state = self.state
+        if not reply.granted:
+            if reply.term > state.term:
+                self._become_follower(reply.term, now)
+        elif reply.pre_vote:
+            if (
+                state.role is types.Role.PRE_CANDIDATE
+                and reply.term == state.term + 1
+                and self._election.count(reply.voter)
+            ):
+                self._election.start_vote(now)
+        elif (
+            state.role is types.Role.CANDIDATE
+            and reply.term == state.term
+            and self._election.count(reply.voter)
+        ):
+            self._become_leader(now)
+
+    def _on_leader_message(
+        self,
+        message: messages.AppendRequest | messages.SnapshotChunk,
+        now: float,
+    ) -> None:
+        state = self.state
+        if message.term < state.term:
+            # Tells a leader of an old term that it no longer leads.
+            state.send(
+                message.leader,
+                messages.AppendReply(term=state.term, follower=state.id),
+            )
+            return
+        if message.term > state.term or state.leader != message.leader:
+            self._become_follower(message.term, now, leader=message.leader)
+        self._election.heard_leader(now)
+        if isinstance(message, messages.AppendRequest):
+            self._follower.append(message)
+        else:
+            self._follower.receive_chunk(message)
+
+    def _on_follower_message(
+        self, message: messages.AppendReply | messages.SnapshotReply, now: float
+    ) -> None:
+        if message.term > self.state.term:
+            self._become_follower(message.term, now)
+        elif self.leadership is not None and message.term == self.state.term:
+            if isinstance(message, messages.AppendReply):
+                self.leadership.appended(message, now)
+            else:
+                self.leadership.chunk_received(message, now)
+            self._check_removed(now)
+
+    def _check_removed(self, now: float) -> None:
+        if self.leadership is not None and self.leadership.removed():
+            self._become_follower(self.state.term, now)
+
+    def _become_follower(
+        self, term: int, now: float, *, leader: str = ""
+    ) -> None:
+        state = self.state
+        if self.leadership is not None:
+            self._failed_reads += [
+                *self.leadership.pending_reads(),
+                *(token for token, _ in self.leadership.reads),
+            ]
+            self.leadership = None
+        if term > state.term:
+            state.term, state.vote = term, ""
+        state.role = types.Role.FOLLOWER
+        state.leader = leader
+        self._follower = raft_follower.Follower(state)
+        self._election.reset_timer(now)
+
+    def _become_leader(self, now: float) -> None:
+        self.state.role = types.Role.LEADER
+        self.state.leader = self.state.id
+        self.leadership = raft_leader.Leader(self.state, now=now)
--- /dev/null
+++ b/src/monsoonhinge/consensus/storage.py
@@ -0,0 +1,231 @@
+"""Durable term, vote, log and snapshot of one member.
+
+The directory holds ``identity``, ``snapshot`` and log files ``log-N``. A new
+log file begins with each snapshot and repeats the retained entries; older
+files are then removed.
+"""
+
+import secrets
+import struct
+import zlib
+
+from monsoonhinge.consensus import files as storage_files
+from monsoonhinge.consensus import records
+from monsoonhinge.consensus import types
+from monsoonhinge.protocol import messages
+
+_IDENTITY = "identity"
+_SNAPSHOT = "snapshot"
+_LOG_PREFIX = "log-"
+_TEMPORARY_SUFFIX = ".tmp"
+_IDENTITY_BYTES = 8
+
+# Marker, last index, last term and CRC-32 over both and the payload.
+_SNAPSHOT_HEADER = struct.Struct(">4sQQI")
+_SNAPSHOT_MARKER = b"MhS1"
+_SNAPSHOT_POSITION = struct.Struct(">QQ")
+
+
+class Storage:
+    """Storage of one member.
+
+    Attributes:
+        identity: Random identity, made with the directory.
+        term: Durable term.
+        vote: Durable vote in that term, or "".
+        snapshot: Latest snapshot.
+        entries: Log entries found when the storage was opened.
+    """
+
+    def __init__(self, files: storage_files.Files) -> None:
+        """Reads the directory.
+
+        Raises:
+            storage_files.StorageError: The directory is damaged or unusable.
+        """
+        self.identity = ""
+        self.term = 0
+        self.vote = ""
+        self.snapshot = types.Snapshot()
+        self.entries: list[messages.Entry] = []
+        self._files = files
+        self._log_number = 0
+        self._log_size = 0
+        self._failed = False
+        try:
+            self._open()
+        except OSError as error:
+            raise _failure("open", error) from error
+
+    def write(self, write: types.Write) -> None:
+        """Makes a write durable.
+
+        Raises:
+            storage_files.StorageError: It may or may not be durable. Storage
+                is unusable from then on, because a failed sync may have
+                dropped data that a later sync would not report.
+        """
+        if self._failed:
+            raise storage_files.StorageError("failed before", step="write")
+        record = records.Record(
+            term=write.term, vote=write.vote, entries=write.entries
+        )
+        try:
+            if write.snapshot is not None:
+                self._replace(_SNAPSHOT, _encode_snapshot(write.snapshot))
+                self._start_log(record)
+            elif (record.term, record.vote) != (
+                self.term,
+                self.vote,
+            ) or record.entries:
+                data = records.encode(record, offset=self._log_size)
+                self._files.append(self._log_name, data)
+                self._files.sync(self._log_name)
+                self._log_size += len(data)
+        except OSError as error:
+            self._failed = True
+            raise _failure("write", error) from error
+        self.term, self.vote = write.term, write.vote
+
+    @property
+    def _log_name(self) -> str:
+        return f"{_LOG_PREFIX}{self._log_number:010}"
+
+    def _open(self) -> None:
+        names = sorted(self._files.names())
+        for name in names:
+            if name.endswith(_TEMPORARY_SUFFIX):
+                self._files.remove(name)
+        names = [n for n in names if not n.endswith(_TEMPORARY_SUFFIX)]
+        logs = [name for name in names if name.startswith(_LOG_PREFIX)]
+        if _IDENTITY not in names:
+            if logs or _SNAPSHOT in names:
+                raise storage_files.StorageError(
+                    "the identity file is missing", step="open"
+                )
+            self._replace(
+                _IDENTITY, secrets.token_hex(_IDENTITY_BYTES).encode()
+            )
+        self.identity = self._files.read(_IDENTITY).decode()
+        if _SNAPSHOT in names:
+            self.snapshot = _decode_snapshot(self._files.read(_SNAPSHOT))
+        for name in logs:
+            self._replay(name, last=name == logs[-1])
+        if logs:
+            self._log_number = int(logs[-1].removeprefix(_LOG_PREFIX))
+        if not logs or not self._follows_snapshot():
+            self.entries = []
+            self._start_log(records.Record(self.term, self.vote, []))
+
+    def _replay(self, name: str, *, last: bool) -> None:
+        data = self._files.read(name)
+        try:
+            replayed, size = records.decode_all(data)
+        except records.Corruption as error:
+            raise storage_files.StorageError(
+                f"{name} is corrupt: {error}", step="read log"
+            ) from error
+        if size < len(data):
+            if not last:
+                raise storage_files.StorageError(
+                    f"{name} is corrupt: record at offset {size} is damaged, "
+                    "but a later log file exists",
+                    step="read log",
+                )
+            self._files.truncate(name, size)
+            self._files.sync(name)
+        # The first record of a file repeats all entries retained so far.
+        self.entries = []
+        for record in replayed:
+            self.term, self.vote = record.term, record.vote
+            for entry in record.entries:
+                self._replay_entry(name, entry)
+        self._log_size = size
+
+    def _replay_entry(self, name: str, entry: messages.Entry) -> None:
+        if self.entries:
+            position = entry.index - self.entries[0].index
+            if not 0 <= position <= len(self.entries):
+                raise storage_files.StorageError(
+                    f"{name} is corrupt: entry {entry.index} follows "
+                    f"{self.entries[-1].index}",
+                    step="read log",
+                )
+            del self.entries[position:]
+        self.entries.append(entry)
+
+    def _follows_snapshot(self) -> bool:
+        """Returns whether the entries agree with the snapshot.
+
+        After a crash between the snapshot and its log file, the log may end
+        before the snapshot or disagree with it.
+        """
+        if not self.entries:
+            return True
+        first, last = self.entries[0].index, self.snapshot.last_index
+        if first > last + 1:
+            raise storage_files.StorageError(
+                f"entries {last + 1} to {first - 1} are missing",
+                step="read log",
+            )
+        position = last - first
+        return position == -1 or (
+            position < len(self.entries)
+            and self.entries[position].term == self.snapshot.last_term
+        )
+
+    def _start_log(self, record: records.Record) -> None:
+        old = [
+            name for name in self._files.names() if name.startswith(_LOG_PREFIX)
+        ]
+        self._log_number += 1
+        data = records.encode(record, offset=0)
+        self._replace(self._log_name, data)
+        self._log_size = len(data)
+        for name in old:
+            self._files.remove(name)
+
+    def _replace(self, name: str, data: bytes) -> None:
+        temporary = name + _TEMPORARY_SUFFIX
+        self._files.append(temporary, data)
+        self._files.sync(temporary)
+        self._files.rename(temporary, name)
+        self._files.sync_directory()
+
+
+def _failure(step: str, error: OSError) -> storage_files.StorageError:
+    return storage_files.StorageError(
+        f"data directory: {error.strerror or error}", step=step
+    )
+
+
+def _snapshot_checksum(last_index: int, last_term: int, payload: bytes) -> int:
+    position = _SNAPSHOT_POSITION.pack(last_index, last_term)
+    return zlib.crc32(payload, zlib.crc32(position))
+
+
+def _encode_snapshot(snapshot: types.Snapshot) -> bytes:
+    payload = snapshot.payload()
+    last_index, last_term = snapshot.last_index, snapshot.last_term
+    checksum = _snapshot_checksum(last_index, last_term, payload)
+    return (
+        _SNAPSHOT_HEADER.pack(_SNAPSHOT_MARKER, last_index, last_term, checksum)
+        + payload
+    )
+
+
+def _decode_snapshot(data: bytes) -> types.Snapshot:
+    payload = data[_SNAPSHOT_HEADER.size :]
+    if len(data) >= _SNAPSHOT_HEADER.size:
+        marker, last_index, last_term, checksum = _SNAPSHOT_HEADER.unpack_from(
+            data
+        )
+        if marker == _SNAPSHOT_MARKER and checksum == _snapshot_checksum(
+            last_index, last_term, payload
+        ):
+            return types.Snapshot.from_payload(
+                last_index=last_index, last_term=last_term, payload=payload
+            )
+    raise storage_files.StorageError(
+        "the snapshot is corrupt", step="read snapshot"
+    )
--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,344 @@
+"""Simulated cluster: cores on a fake network with fake disks and clocks."""
+
+import contextlib
+import dataclasses
+import hashlib
+import heapq
+import random
+
+from monsoonhinge.consensus import files as storage_files
+from monsoonhinge.consensus import membership
+from monsoonhinge.consensus import raft
+from monsoonhinge.consensus import storage
+from monsoonhinge.consensus import types
+from monsoonhinge.protocol import messages
+
+NAMES = ("a", "b", "c")
+_TICK_S = 0.05
+_COMPACT_ENTRIES = 12
+
+
+@dataclasses.dataclass
+class _Inode:
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+    synced: int = 0
+
+
+class FakeDisk:
+    """Files that lose, or tear, what was not synced when power fails."""
+
+    def __init__(self) -> None:
+        self.fail_after = -1
+        self._files: dict[str, _Inode] = {}
+        self._durable: dict[str, _Inode] = {}
+
+    def _operate(self) -> None:
+        if self.fail_after == 0:
+            raise OSError(5, "Input/output error")
+        self.fail_after -= 1
+
+    def names(self) -> list[str]:
+        return list(self._files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._files[name].data)
+
+    def append(self, name: str, data: bytes) -> None:
+        self._operate()
+        self._files.setdefault(name, _Inode()).data += data
+
+    def sync(self, name: str) -> None:
+        self._operate()
+        self._files[name].synced = len(self._files[name].data)
+
+    def truncate(self, name: str, size: int) -> None:
+        inode = self._files[name]
+        del inode.data[size:]
+        inode.synced = min(inode.synced, size)
+
+    def rename(self, old: str, new: str) -> None:
+        self._operate()
+        self._files[new] = self._files.pop(old)
+
+    def remove(self, name: str) -> None:
+        self._operate()
+        del self._files[name]
+
+    def sync_directory(self) -> None:
+        self._operate()
+        self._durable = dict(self._files)
+
+    def corrupt(self, name: str, position: int) -> None:
+        """Flips the bits of one byte."""
+        self._files[name].data[position] ^= 0xFF
+
+    def power_off(self, rng: random.Random) -> None:
+        """Loses unsynced names and any suffix of unsynced data."""
+        self.fail_after = -1
+        if rng.random() < 0.5:
+            self._files = dict(self._durable)
+        for inode in self._files.values():
+            kept = rng.randint(inode.synced, len(inode.data))
+            torn = rng.random() < 0.5 and kept > inode.synced
+            del inode.data[kept:]
+            if torn:
+                inode.data[-1] ^= 0xFF
+            inode.synced = len(inode.data)
+        self._durable = dict(self._files)
+
+
+class Node:
+    """One member: core, storage and a state machine that hashes its input."""
+
+    def __init__(
+        self, *, name: str, disk: FakeDisk, rng: random.Random, now: float
+    ) -> None:
+        self.name = name
+        self.disk = disk
+        self.clock_rate = rng.uniform(0.95, 1.05)
+        self.clock_offset = rng.uniform(0, 1000)
+        self.storage = storage.Storage(disk)
+        self.id = types.Member(name, self.storage.identity).id
+        self.write: types.Write | None = None
+        self.applied = 0
+        self.digest = b""
+        self.core = raft.Raft(
+            member_id=self.id,
+            term=self.storage.term,
+            vote=self.storage.vote,
+            snapshot=self.storage.snapshot,
+            entries=self.storage.entries,
+            timing=types.Timing(),
+            rng=rng,
+            now=self.clock(now),
+        )
+
+    def clock(self, now: float) -> float:
+        return self.clock_offset + now * self.clock_rate
+
+
+class Cluster:
+    """Nodes, the messages between them and the invariants."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.drop_rate = 0.0
+        self.write_rate = 0.8
+        self.paused: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.disks = {name: FakeDisk() for name in NAMES}
+        self.nodes: dict[str, Node] = {}
+        self.digests: dict[int, bytes] = {0: b""}
+        self.committed: dict[int, tuple[int, bytes]] = {}
+        self.configuration = types.Configuration()
+        self.leaders: dict[int, str] = {}
+        self.reads: dict[int, int] = {}
+        self._queue: list[tuple[float, int, str, str, types.RaftMessage]] = []
+        self._sequence = 0
+        for name in NAMES:
+            self.start(name)
+        self.nodes["a"].core.found(
+            types.Configuration(
+                tuple(
+                    types.Member(n, self.nodes[n].storage.identity)
+                    for n in NAMES
+                )
+            ),
+            self.nodes["a"].clock(self.now),
+        )
+
+    def start(self, name: str) -> None:
+        """Starts a stopped member from its disk."""
+        self.nodes[name] = Node(
+            name=name, disk=self.disks[name], rng=self.rng, now=self.now
+        )
+        self.settle(self.nodes[name])
+
+    def crash(self, name: str) -> None:
+        """Cuts the power of a member, perhaps in the middle of a write."""
+        self.paused.discard(name)
+        node = self.nodes.pop(name)
+        if node.write is not None:
+            node.disk.fail_after = self.rng.randint(0, 6)
+            with contextlib.suppress(storage_files.StorageError):
+                node.storage.write(node.write)
+        node.disk.power_off(self.rng)
+
+    def vanish(self, name: str) -> None:
+        """Loses the data directory of a member, which starts again."""
+        self.nodes.pop(name, None)
+        self.paused.discard(name)
+        self.disks[name] = FakeDisk()
+        self.start(name)
+
+    def leader(self) -> Node | None:
+        """Returns the leader of the newest term, if there is one."""
+        leading = [n for n in self.nodes.values() if n.core.is_leader]
+        return max(leading, key=lambda n: n.core.state.term, default=None)
+
+    def propose(self, commands: list[bytes]) -> None:
+        """Proposes commands to every member that leads."""
+        for node in self.nodes.values():
+            if node.core.leadership is not None:
+                with contextlib.suppress(types.NotLeader):
+                    node.core.leadership.propose(commands, node.clock(self.now))
+                self.settle(node)
+
+    def read(self) -> None:
+        """Starts a read on every member that leads."""
+        for node in self.nodes.values():
+            if node.core.leadership is not None:
+                token = len(self.reads) + 1
+                self.reads[token] = max(self.committed, default=0)
+                node.core.leadership.read(token, node.clock(self.now))
+                self.settle(node)
+
+    def repair(self) -> None:
+        """Lets the leader replace a member that lost its directory."""
+        node = self.leader()
+        if node is None or node.core.leadership is None:
+            return
+        leadership, log = node.core.leadership, node.core.state.log
+        wanted = membership.next_step(log.configuration, leadership.caught_up)
+        for other in self.nodes.values():
+            if wanted is None and other.id not in log.configuration.ids:
+                wanted = membership.add_learner(
+                    log.configuration,
+                    types.Member(other.name, other.storage.identity),
+                )
+        if wanted is not None:
+            with contextlib.suppress(types.ChangeRefused):
+                leadership.change(wanted, node.clock(self.now))
+            self.settle(node)
+
+    def storm(self, steps: int) -> None:
+        """Injects random faults and commands in quick succession."""
+        rng = self.rng
+        self.write_rate = rng.choice([0.1, 0.8])
+        for _ in range(steps):
+            name, other = rng.sample(NAMES, 2)
+            match rng.choice("xXrrrcCCihhhpppppsSSRR"):
+                case "x" if name in self.nodes:
+                    self.crash(name)
+                case "X" if rng.random() < 0.3:
+                    for running in list(self.nodes):
+                        self.crash(running)
+                case "r":
+                    self.restart()
+                case "c":
+                    self.cuts.add((name, other))
+                case "C":
+                    self.cuts |= {(name, other), (other, name)}
+                case "i":
+                    for peer in NAMES:
+                        self.cuts |= {(name, peer), (peer, name)}
+                case "h":
+                    self.cuts.clear()
+                case "p":
+                    self.propose([rng.randbytes(4)] * rng.randint(1, 3))
+                case "s" if name in self.nodes:
+                    self.paused.add(name)
+                case "S":
+                    self.paused.clear()
+                    self.read()
+                case "R":
+                    self.read()
+                    self.repair()
+            self.run(rng.choice([0.0, 0.05, 0.05, 0.2, 0.8, 1.5]))
+        self.paused.clear()
+        self.write_rate = 0.8
+
+    def restart(self) -> None:
+        """Starts every stopped member."""
+        for name in NAMES:
+            if name not in self.nodes:
+                self.start(name)
+
+    def whole(self) -> bool:
+        """Returns whether every committed voter still has its directory."""
+        present = {node.id for node in self.nodes.values()}
+        voters = self.configuration.voters
+        return len(voters) == len(NAMES) and present.issuperset(voters)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            step = min(self.now + _TICK_S, end)
+            while self._queue and self._queue[0][0] <= step:
+                self.now, _, sender, to, message = heapq.heappop(self._queue)
+                node = self.nodes.get(types.member_name(to))
+                if node is not None and node.name in self.paused:
+                    later = (step + 0.01, self._sequence, sender, to, message)
+                    self._sequence += 1
+                    heapq.heappush(self._queue, later)
+                elif node is not None and (sender, node.name) not in self.cuts:
+                    node.core.step(message, node.clock(self.now))
+                    self.settle(node)
+            self.now = step
+            for node in list(self.nodes.values()):
+                if node.name in self.paused:
+                    continue
+                if (
+                    node.write is not None
+                    and self.rng.random() < self.write_rate
+                ):
+                    write, node.write = node.write, None
+                    node.storage.write(write)
+                    node.core.written(write, node.clock(self.now))
+                node.core.tick(node.clock(self.now))
+                self.settle(node)
+
+    def settle(self, node: Node) -> None:
+        """Carries out what a core wants, and checks the invariants."""
+        core = node.core
+        if core.is_leader:
+            known = self.leaders.setdefault(core.state.term, node.id)
+            assert known == node.id, "two leaders in one term"
+        committed = core.take_committed(5)
+        if committed is not None:
+            self._apply(node, committed)
+        if node.applied - core.state.log.snapshot.last_index > _COMPACT_ENTRIES:
+            core.state.compact(index=node.applied, data=node.digest, keep=4)
+        for token, index in core.take_reads()[0]:
+            assert index >= self.reads[token], "stale read"
+        if node.write is None:
+            node.write = core.take_write()
+        for to, message in core.take_messages():
+            self._post(node.name, to, message)
+
+    def _apply(self, node: Node, committed: types.Committed) -> None:
+        if committed.snapshot is not None:
+            node.applied = committed.snapshot.last_index
+            node.digest = committed.snapshot.data
+            assert node.digest == self.digests[node.applied], "wrong snapshot"
+        for entry in committed.entries:
+            assert entry.index == node.applied + 1, "gap"
+            content = (entry.term, entry.data)
+            known = self.committed.setdefault(entry.index, content)
+            assert known == content, "committed entry differs"
+            node.applied = entry.index
+            node.digest = hashlib.sha256(node.digest + entry.data).digest()
+            self.digests[entry.index] = node.digest
+            if entry.kind == types.KIND_CONFIGURATION and entry.index == len(
+                self.committed
+            ):
+                self.configuration = types.Configuration.decode(entry.data)
+
+    def _post(self, sender: str, to: str, message: types.RaftMessage) -> None:
+        for _ in range(2 if self.rng.random() < self.drop_rate / 2 else 1):
+            if self.rng.random() < self.drop_rate:
+                continue
+            self._sequence += 1
+            at = self.now + self.rng.expovariate(1 / 0.02)
+            heapq.heappush(
+                self._queue, (at, self._sequence, sender, to, message)
+            )
+
+
+def entry(index: int, term: int = 1, data: bytes = b"x") -> messages.Entry:
+    """Returns a command entry."""
+    return messages.Entry(
+        index=index, term=term, kind=types.KIND_COMMAND, data=data
+    )
--- /dev/null
+++ b/tests/consensus/test_raft.py
@@ -0,0 +1,90 @@
+"""Properties of the replicated log under faults."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+from tests.consensus import cluster
+
+_names = st.sampled_from(cluster.NAMES)
+
+
+class FaultyCluster(stateful.RuleBasedStateMachine):
+    """Guards against split votes, lost or reverted entries, stale reads."""
+
+    @stateful.initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed: int) -> None:
+        self.cluster = cluster.Cluster(seed)
+        self.proposed = 0
+        self.cluster.run(2.0)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.4, 1.5]))
+    def run(self, seconds: float) -> None:
+        self.cluster.run(seconds)
+
+    @stateful.rule(count=st.integers(1, 20))
+    def propose(self, count: int) -> None:
+        self.proposed += count
+        self.cluster.propose(
+            [b"%d" % (self.proposed - n) for n in range(count)]
+        )
+
+    @stateful.rule()
+    def read(self) -> None:
+        self.cluster.read()
+
+    @stateful.rule(steps=st.integers(5, 60))
+    def storm(self, steps: int) -> None:
+        self.cluster.storm(steps)
+
+    @stateful.rule(rate=st.sampled_from([0.0, 0.1, 0.4]))
+    def lose_messages(self, rate: float) -> None:
+        self.cluster.drop_rate = rate
+
+    @stateful.rule(name=_names)
+    def lose_directory(self, name: str) -> None:
+        if self.cluster.whole():
+            self.cluster.vanish(name)
+
+    @stateful.rule(name=_names)
+    def lose_second_directory_after_repair(self, name: str) -> None:
+        self.lose_directory(name)
+        for _ in range(60):
+            self.cluster.run(0.1)
+            self.cluster.repair()
+        self.lose_directory(cluster.NAMES[cluster.NAMES.index(name) - 1])
+
+    @stateful.rule()
+    def repair(self) -> None:
+        self.cluster.repair()
+
+    @stateful.rule()
+    def hand_over(self) -> None:
+        node = self.cluster.leader()
+        if node is not None and node.core.leadership is not None:
+            node.core.leadership.transfer(node.clock(self.cluster.now))
+
+    def teardown(self) -> None:
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.cuts.clear()
+        self.cluster.drop_rate = 0.0
+        self.cluster.restart()
+        for _ in range(80):
+            self.cluster.run(0.1)
+            self.cluster.repair()
+        self.cluster.propose([b"last"])
+        self.cluster.run(2.0)
+        last = max(self.cluster.committed)
+        assert self.cluster.committed[last][1] == b"last", "no progress"
+        assert self.cluster.whole(), "member not repaired"
+        for node in self.cluster.nodes.values():
+            assert node.applied == last, "member lags after repair"
+
+
+# The faults come from one random source, so shrinking finds nothing simpler.
+FaultyCluster.TestCase.settings = hypothesis.settings(
+    max_examples=200,
+    stateful_step_count=12,
+    phases=(hypothesis.Phase.generate,),
+)
+TestFaultyCluster = FaultyCluster.TestCase
