Run the control process on the replicated log

Cause: the control process had one member and kept nothing on disk, and probes and lease renewals were answered without asking a quorum.

Reads, probes and renewals are now confirmed by a quorum round that begins after their arrival; followers relay all pending probes as one. Only the first of the initial members founds a cluster, and only while all others are there without a log, so a first member that lost its directory cannot found a second cluster. A lost member is added again as a learner under its new identity; the leader then removes the old identity and promotes the learner, one voter at a time.

Ruled out: founding by every member on its own (identities are random, so the initial voters would differ); replacing a voter in one change (two disjoint majorities); renewing a lease whose expiry is proposed (both could succeed).

Before: a restart lost all state. After: with three processes, 1,000 claims survive SIGKILL of the leader, SIGSTOP of the leader for two lease TTLs, two members that lose their directories one after the other, a restart of all, and a drain of the leader; the lease stays with its holder and the resumed leader refuses renewals.

Conclusion: the control server is replicated.

--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from concurrent import futures
+import contextlib
 import dataclasses
 import logging
 import random
@@ -17,6 +18,7 @@
 from monsoonhinge.consensus import raft
 from monsoonhinge.consensus import storage as raft_storage
 from monsoonhinge.consensus import types
+from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 
 # Bounds how long applying a backlog keeps heartbeats waiting.
@@ -109,6 +111,7 @@
         self._next_read = 1
         self._configuration: types.Configuration | None = None
         self._progress = asyncio.Event()
+        self._following = asyncio.Event()
 
     @property
     def is_leader(self) -> bool:
@@ -211,13 +214,19 @@
             await self._progress.wait()
         return index
 
-    def hand_over(self) -> bool:
-        """Hands leadership to another voter; returns whether one is live."""
+    async def hand_over(self, *, timeout: float) -> None:
+        """Hands leadership to another voter if one is live.
+
+        Args:
+            timeout: Seconds to wait until another member leads.
+        """
         leadership = self.raft.leadership
         if leadership is None or not leadership.transfer(self._loop.time()):
-            return False
+            return
         self._flush()
-        return True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._following.wait()
 
     def _require_leadership(self, step: str) -> raft_leader.Leader:
         if self.failure is not None:
@@ -240,8 +249,13 @@
         if self._writing is None:
             self._submit()
         self._apply()
+        if self.failure is not None:
+            return
         self._answer_reads()
-        if not self.raft.is_leader:
+        if self.raft.is_leader:
+            self._following.clear()
+        else:
+            self._following.set()
             self._fail_proposals()
         for to, message in self.raft.take_messages():
             self._transport.send(to, message)
@@ -298,13 +312,18 @@
             self._machine.restore(committed.snapshot.data)
             self.applied = committed.snapshot.last_index
         for entry in committed.entries:
-            result = b""
-            if entry.kind == types.KIND_COMMAND:
-                result = self._machine.apply(entry.index, entry.data)
-            self.applied = entry.index
-            proposal = self._proposed.pop(entry.index, None)
-            if proposal is not None:
-                self._resolve(proposal, entry.term, result)
+            try:
+                self._apply_entry(entry)
+            except Exception as error:
+                # Skipping the entry would make the members' states differ.
+                _LOG.exception("cannot apply entry %d", entry.index)
+                self._fail(
+                    errors.MonsoonhingeError(
+                        f"cannot apply entry {entry.index}: {error}",
+                        step="apply",
+                    )
+                )
+                return
         state = self.raft.state
         if self.applied - state.log.snapshot.last_index >= (
             self._snapshot_entries
@@ -319,6 +338,15 @@
         self._progress.set()
         self._progress = asyncio.Event()
 
+    def _apply_entry(self, entry: messages.Entry) -> None:
+        result = b""
+        if entry.kind == types.KIND_COMMAND:
+            result = self._machine.apply(entry.index, entry.data)
+        self.applied = entry.index
+        proposal = self._proposed.pop(entry.index, None)
+        if proposal is not None:
+            self._resolve(proposal, entry.term, result)
+
     def _resolve(self, proposal: _Proposal, term: int, result: bytes) -> None:
         if proposal.term != term:
             self._reject(
--- /dev/null
+++ b/src/monsoonhinge/control/leases.py
@@ -0,0 +1,98 @@
+"""Timing of leases and sessions on the leader.
+
+Times are the leader's own monotonic clock. A new leader starts every lease
+and session afresh, since it does not know when they were last renewed.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from monsoonhinge.control import machine
+from monsoonhinge.protocol import messages
+
+
+def session_name(hello: messages.Hello) -> str:
+    """Returns the session of a process: its node and incarnation."""
+    return f"{hello.node}/{hello.incarnation}"
+
+
+class LeaseTimer:
+    """When each lease was last renewed.
+
+    A lease whose expiry is proposed is not renewed any more: its renewal and
+    the expiry could otherwise both succeed.
+    """
+
+    def __init__(self, *, ttl_s: float) -> None:
+        self.ttl_s = ttl_s
+        self._renewed: dict[tuple[str, int], float] = {}
+        self._expiring: set[tuple[str, int]] = set()
+
+    def restart(self) -> None:
+        """Begins a term of leadership."""
+        self._renewed.clear()
+        self._expiring.clear()
+
+    def renew(self, name: str, fencing: int, now: float) -> bool:
+        """Notes a confirmed renewal; returns whether the lease holds."""
+        if (name, fencing) in self._expiring:
+            return False
+        self._renewed[name, fencing] = now
+        return True
+
+    def expire(
+        self, leases: Mapping[str, machine.Lease], now: float
+    ) -> list[tuple[str, int]]:
+        """Returns name and fencing number of leases to expire now.
+
+        Args:
+            leases: Leases held.
+            now: Current time.
+        """
+        held = {(name, lease.fencing) for name, lease in leases.items()}
+        self._renewed = {
+            key: self._renewed.get(key, now) for key in sorted(held)
+        }
+        self._expiring &= held
+        expired = [
+            key
+            for key, renewed in self._renewed.items()
+            if now - renewed > self.ttl_s and key not in self._expiring
+        ]
+        self._expiring.update(expired)
+        return expired
+
+    def retry(self, name: str, fencing: int) -> None:
+        """Notes that an expiry was not committed."""
+        self._expiring.discard((name, fencing))
+
+
+class SessionTimer:
+    """When each session was last heard."""
+
+    def __init__(self, *, ttl_s: float) -> None:
+        self.ttl_s = ttl_s
+        self._heard: dict[str, float] = {}
+
+    def restart(self) -> None:
+        """Begins a term of leadership."""
+        self._heard.clear()
+
+    def heard(self, session: str, now: float) -> None:
+        """Notes a probe of a session."""
+        self._heard[session] = now
+
+    def lost(self, sessions: Iterable[str], now: float) -> list[str]:
+        """Returns which of some sessions have expired.
+
+        Args:
+            sessions: Sessions that matter, such as those with running calls.
+            now: Current time.
+        """
+        for session, heard in list(self._heard.items()):
+            if now - heard > 2 * self.ttl_s:
+                del self._heard[session]
+        return [
+            session
+            for session in set(sessions)
+            if now - self._heard.setdefault(session, now) > self.ttl_s
+        ]
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -2,10 +2,23 @@
 
 import asyncio
 import json
+import logging
+import os
+import random
+import signal
+import time
 from typing import Any
 
-from monsoonhinge.config import delta
-from monsoonhinge.control import machine
+from monsoonhinge.consensus import driver as raft_driver
+from monsoonhinge.consensus import files as storage_files
+from monsoonhinge.consensus import storage as raft_storage
+from monsoonhinge.consensus import transport as raft_transport
+from monsoonhinge.consensus import types
+from monsoonhinge.control import duties as control_duties
+from monsoonhinge.control import leases as lease_timing
+from monsoonhinge.control import members as control_members
+from monsoonhinge.control import probes as control_probes
+from monsoonhinge.control import replica as control_replica
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
@@ -14,15 +27,15 @@
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
 
-# Keeps each part of a snapshot well below the largest frame.
-_SNAPSHOT_PART_BYTES = 1024 * 1024
-
-_CONFIG_COMMANDS = (
-    commands.PublishConfig,
-    commands.GrantKey,
-    commands.WithdrawKey,
+# Commands whose time is written by the leader.
+_STAMPED = (
+    commands.ClaimCall,
+    commands.FinishCall,
+    commands.CheckpointBudget,
 )
 
+_LOG = logging.getLogger(__name__)
+
 
 class ControlProcess:
     """Serves the replicated state to the other processes."""
@@ -30,14 +43,48 @@
     def __init__(self, config: settings.Control) -> None:
         self.config = config
         self.identity = service.identity(config, "control")
-        self.server = connection.Server(identity=self.identity, handler=self)
-        self.machine = machine.Machine()
-        self.index = 0
-        self.watchers: dict[connection.Connection, int] = {}
-        self.renewed_at: dict[str, float] = {}
+        names = [member.name for member in config.members]
+        if not config.join and config.node not in names:
+            raise errors.SettingsError(
+                [f"node: {config.node} is not in members and join is not set"]
+            )
         self.draining = False
-        self._changed = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self.files = storage_files.Directory(config.data_dir)
+        storage = raft_storage.Storage(self.files)
+        self.replica = control_replica.Replica()
+        self.transport = raft_transport.Transport(
+            identity=self.identity, handler=self
+        )
+        self.driver = raft_driver.Driver(
+            name=config.node,
+            storage=storage,
+            machine=self.replica,
+            transport=self.transport,
+            timing=types.Timing(
+                heartbeat_s=config.heartbeat_s,
+                election_timeout_s=config.election_timeout_s,
+            ),
+            snapshot_entries=config.snapshot_entries,
+            rng=random.Random(),
+        )
+        self.members = control_members.Members(
+            config=config,
+            identity=storage.identity,
+            driver=self.driver,
+            transport=self.transport,
+            connect_as=self.identity,
+        )
+        self.duties = control_duties.Duties(
+            config=config,
+            driver=self.driver,
+            replica=self.replica,
+            members=self.members,
+        )
+        self.probes = control_probes.ProbeRelay(
+            driver=self.driver, transport=self.transport
+        )
+        self.server = connection.Server(identity=self.identity, handler=self)
+        self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
     def from_config(cls, config: settings.Control) -> "ControlProcess":
@@ -45,22 +92,42 @@
         return cls(config)
 
     async def start(self) -> None:
-        """Starts listening."""
+        """Starts listening and takes part in the cluster."""
         await self.server.start(
             host=self.config.listen.host, port=self.config.listen.port
         )
-        self._task = asyncio.get_running_loop().create_task(
-            self._expire_leases()
-        )
+        for member in self.config.members:
+            self.transport.connect(
+                name=member.name,
+                host=member.address.host,
+                port=member.address.port,
+            )
+        self.driver.start()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.members.found()),
+            loop.create_task(self.duties.run()),
+            loop.create_task(self._watch_failure()),
+        ]
 
     async def finish(self) -> None:
-        """Nothing is left to finish."""
+        """Waits until another member leads, if one can.
+
+        Raises:
+            errors.MonsoonhingeError: The member had failed before.
+        """
+        if self.driver.failure is not None:
+            raise self.driver.failure
+        await self.driver.hand_over(timeout=2 * self.config.election_timeout_s)
 
     async def stop(self) -> None:
         """Closes everything."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await self.driver.stop()
+        await self.transport.stop()
         await self.server.stop()
+        self.files.close()
 
     def drain(self) -> None:
         """Begins a graceful stop."""
@@ -68,17 +135,41 @@
 
     def ready(self) -> str:
         """Returns why the process is not ready, or ""."""
-        return "draining" if self.draining else ""
+        if self.draining:
+            return "draining"
+        if self.driver.failure is not None:
+            return "failed"
+        return "" if self.driver.leader else "no leader known"
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for operators."""
+        state = self.driver.raft.state
         return {
-            "index": self.index,
-            "version": self.machine.version,
-            "leases": self.machine.document("leases"),
+            "identity": state.id,
+            "role": state.role.value,
+            "leader": self.driver.leader,
+            "term": state.term,
+            "index": self.driver.applied,
+            "commit": state.commit,
+            "last_index": state.log.last_index,
+            "snapshot_index": state.log.snapshot.last_index,
+            "members": [
+                {
+                    "id": member.id,
+                    "address": f"{member.host}:{member.port}",
+                    "voter": member.voter,
+                }
+                for member in self.driver.configuration.members
+            ],
+            "version": self.replica.machine.version,
+            "leases": self.replica.machine.document("leases"),
             "watchers": {
                 link.remote.node: version
-                for link, version in self.watchers.items()
+                for link, version in self.replica.watchers.items()
+            },
+            "subscribers": {
+                session: subscriber.version
+                for session, subscriber in self.duties.subscribers.items()
             },
         }
 
@@ -86,42 +177,47 @@
         """Nothing to do until the peer asks."""
 
     def disconnected(self, link: connection.Connection) -> None:
-        """Forgets a subscriber."""
-        self.watchers.pop(link, None)
+        """Forgets a subscriber or a route to a member."""
+        self.replica.unwatch(link)
+        self.transport.forget(link)
 
     async def handle(
         self, link: connection.Connection, message: messages.Message
     ) -> messages.Message | None:
         """Answers a request."""
+        if isinstance(message, types.RaftMessage):
+            if link.remote.role == "control":
+                self.transport.note_route(raft_transport.sender(message), link)
+                self.driver.receive(message)
+            return None
         match message:
             case messages.Propose():
-                result = self._commit(codec.decode_command(message.command))
-                return messages.Proposed(
-                    index=self.index, result=codec.encode_result(result)
-                )
+                return await self._propose(message)
             case messages.Watch():
-                self.watchers[link] = message.version
-                if message.version != self.machine.version:
-                    self._send_snapshot(link)
+                self.replica.watch(link, message.version)
                 return messages.Ack()
             case messages.InForce():
-                self.watchers[link] = message.version
+                if link in self.replica.watchers:
+                    self.replica.watchers[link] = message.version
                 return None
             case messages.Probe():
-                return messages.Fresh(
-                    index=self.index, version=self.machine.version
-                )
+                return await self._probe(link)
+            case messages.RelayProbe():
+                return await self._confirm(message.subscribers)
             case messages.RenewLease():
-                return self._renew(message)
+                return await self._renew(message)
             case messages.ReadState():
-                return messages.StateReply(
-                    index=self.index,
-                    document=json.dumps(
-                        self.machine.document(message.section)
-                    ).encode(),
-                )
+                return await self._read(message.section)
             case messages.AwaitCall():
                 return await self._await_call(message)
+            case messages.DescribeMember():
+                return self.members.describe()
+            case messages.AddMember():
+                await self.members.add(message)
+                return messages.Ack()
+            case messages.RemoveMember():
+                await self.members.remove(message)
+                return messages.Ack()
             case _:
                 raise errors.ProtocolError(
                     f"unexpected {type(message).__name__}",
@@ -129,88 +225,73 @@
                     peer=link.peer,
                 )
 
-    def _commit(self, command: commands.Command) -> commands.Result:
-        self.index += 1
-        old_version, old = self.machine.version, self.machine.objects
-        result = self.machine.apply(self.index, command)
-        if isinstance(command, commands.AcquireLease):
-            self.renewed_at.setdefault(
-                command.name, asyncio.get_running_loop().time()
-            )
-        if isinstance(command, _CONFIG_COMMANDS):
-            self._push(old_version, old)
-        self._changed.set()
-        self._changed = asyncio.Event()
-        return result
-
-    def _push(self, old_version: int, old: dict[str, bytes]) -> None:
-        if self.machine.version == old_version:
-            return
-        change = delta.Delta.between(old, self.machine.objects)
-        message = messages.ConfigDelta(
-            base=old_version,
-            version=self.machine.version,
-            index=self.index,
-            upserts=list(change.upserts.values()),
-            deletes=change.deletes,
+    async def _propose(self, message: messages.Propose) -> messages.Proposed:
+        command = codec.decode_command(message.command)
+        data = message.command
+        if isinstance(command, _STAMPED):
+            command.now_ms = int(time.time() * 1000)
+            data = codec.encode_command(command)
+        index, result = await self.driver.propose(data)
+        return messages.Proposed(index=index, result=result)
+
+    async def _probe(self, link: connection.Connection) -> messages.Fresh:
+        subscriber = messages.SubscriberState(
+            session=lease_timing.session_name(link.remote),
+            role=link.remote.role,
+            version=self.replica.watchers.get(link, 0),
         )
-        for link in self.watchers:
-            link.notify(message)
-
-    def _send_snapshot(self, link: connection.Connection) -> None:
-        parts: list[list[bytes]] = [[]]
-        size = 0
-        for data in self.machine.objects.values():
-            if size + len(data) > _SNAPSHOT_PART_BYTES:
-                parts.append([])
-                size = 0
-            parts[-1].append(data)
-            size += len(data)
-        for number, objects in enumerate(parts):
-            link.notify(
-                messages.ConfigSnapshot(
-                    version=self.machine.version,
-                    index=self.index,
-                    part=number,
-                    parts=len(parts),
-                    objects=objects,
-                )
-            )
+        if self.driver.is_leader:
+            return await self._confirm([subscriber])
+        return await self.probes.probe(subscriber)
 
-    def _renew(self, message: messages.RenewLease) -> messages.Message:
-        lease = self.machine.leases.get(message.name)
-        if lease is None or (lease.holder, lease.fencing) != (
-            message.holder,
-            message.fencing,
+    async def _confirm(
+        self, subscribers: list[messages.SubscriberState]
+    ) -> messages.Fresh:
+        index = await self.driver.read()
+        self.duties.probed(subscribers)
+        return messages.Fresh(index=index, version=self.replica.machine.version)
+
+    async def _renew(self, message: messages.RenewLease) -> messages.Message:
+        received_at = asyncio.get_running_loop().time()
+        await self.driver.read()
+        lease = self.replica.machine.leases.get(message.name)
+        if (
+            lease is None
+            or (lease.holder, lease.fencing)
+            != (message.holder, message.fencing)
+            or not self.duties.leases.renew(
+                message.name, message.fencing, received_at
+            )
         ):
             return messages.Error(
                 code="lease_lost", message=f"lease {message.name} is not held"
             )
-        self.renewed_at[message.name] = asyncio.get_running_loop().time()
         return messages.LeaseRenewed(ttl_ms=int(self.config.lease_ttl_s * 1000))
 
-    async def _expire_leases(self) -> None:
-        while True:
-            await asyncio.sleep(self.config.lease_ttl_s / 10)
-            now = asyncio.get_running_loop().time()
-            for name, lease in list(self.machine.leases.items()):
-                renewed = self.renewed_at.get(name, now)
-                if now - renewed > self.config.lease_ttl_s:
-                    self.renewed_at.pop(name)
-                    self._commit(
-                        commands.ExpireLease(name=name, fencing=lease.fencing)
-                    )
+    async def _read(self, section: str) -> messages.StateReply:
+        index = await self.driver.read()
+        document = (
+            self.dump()
+            if section == "status"
+            else self.replica.machine.document(section)
+        )
+        return messages.StateReply(
+            index=index, document=json.dumps(document).encode()
+        )
 
     async def _await_call(
         self, message: messages.AwaitCall
     ) -> messages.CallRecord:
+        await self.driver.read()
         key = (message.team, message.route, message.key)
+        calls = self.replica.machine.calls
         try:
             async with asyncio.timeout(message.timeout_ms / 1000):
-                while (
-                    call := self.machine.calls.get(key)
-                ) is not None and call.state == "running":
-                    await self._changed.wait()
+                while (call := calls.get(key)) is not None and (
+                    call.state == "running"
+                ):
+                    await self.replica.changed()
+                    calls = self.replica.machine.calls
         except TimeoutError:
             pass
         if call is None:
@@ -222,3 +303,9 @@
             headers=call.headers,
             body=call.body,
         )
+
+    async def _watch_failure(self) -> None:
+        await self.driver.stopped.wait()
+        _LOG.critical("member failed: %s", self.driver.failure)
+        # The supervisor turns the error raised by finish() into exit code 1.
+        os.kill(os.getpid(), signal.SIGTERM)
--- a/src/monsoonhinge/runtime/service.py
+++ b/src/monsoonhinge/runtime/service.py
@@ -101,7 +101,11 @@
 async def _supervise(
     config: _Settings, factory: Callable[[_Settings], Process]
 ) -> int:
-    process = factory(config)
+    try:
+        process = factory(config)
+    except (OSError, errors.MonsoonhingeError) as error:
+        _LOG.error("cannot start: %s", error)
+        return EXIT_FAILED
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
 
--- /dev/null
+++ b/tests/consensus/test_processes.py
@@ -0,0 +1,220 @@
+"""Three real control processes under signals and a lost directory."""
+
+import asyncio
+from collections.abc import Iterator
+import json
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from monsoonhinge.control import client as control_client
+from monsoonhinge.protocol import commands
+from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import settings
+
+_NAMES = ("c1", "c2", "c3")
+_SECRET = "secret of the test cluster"
+_LEASE_TTL_S = 1.0
+_CHANGES = 1000
+_TIMEOUT_S = 8.0
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Processes:
+    """Three control processes on loopback."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.path = path
+        ports = _free_ports(2 * len(_NAMES))
+        self.members = [
+            settings.Member(
+                name=name, address=settings.Address(host="127.0.0.1", port=port)
+            )
+            for name, port in zip(_NAMES, ports, strict=False)
+        ]
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        for member, port in zip(self.members, ports[3:], strict=True):
+            document = {
+                "node": member.name,
+                "availability_zone": "z1",
+                "operations": {"host": "127.0.0.1", "port": port},
+                "cluster_secret": _SECRET,
+                "listen": member.address.model_dump(),
+                "data_dir": str(path / member.name),
+                "members": [m.model_dump() for m in self.members],
+                "lease_ttl_s": _LEASE_TTL_S,
+                "drain_timeout_s": 5,
+            }
+            (path / f"{member.name}.json").write_text(json.dumps(document))
+
+    def start(self, name: str) -> None:
+        with open(self.path / f"{name}.log", "ab") as log:
+            self.running[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "monsoonhinge.control",
+                    "--settings",
+                    str(self.path / f"{name}.json"),
+                ],
+                stderr=log,
+            )
+
+    def kill(self, name: str) -> None:
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def client(self) -> control_client.Client:
+        return control_client.Client(
+            members=self.members,
+            identity=connection.Identity(
+                node="test",
+                role="operator",
+                incarnation=1,
+                secret=_SECRET.encode(),
+            ),
+        )
+
+
+@pytest.fixture
+def processes(tmp_path: pathlib.Path) -> Iterator[Processes]:
+    started = Processes(tmp_path)
+    yield started
+    for name in list(started.running):
+        started.kill(name)
+
+
+def _claim(number: int) -> commands.ClaimCall:
+    return commands.ClaimCall(
+        team="t", route="r", key=str(number), digest=b"d", claim_id="first"
+    )
+
+
+async def _claim_all(client: control_client.Client) -> None:
+    numbers = range(_CHANGES)
+    for start in range(0, _CHANGES, 100):
+        results = await asyncio.gather(
+            *(
+                client.propose(
+                    _claim(n), commands.CallResult, timeout=_TIMEOUT_S
+                )
+                for n in numbers[start : start + 100]
+            )
+        )
+        assert {result.code for result in results} == {"won"}
+
+
+async def _check_claims(client: control_client.Client) -> None:
+    for number in (0, _CHANGES // 2, _CHANGES - 1):
+        again = _claim(number)
+        again.claim_id = "second"
+        result = await client.propose(
+            again, commands.CallResult, timeout=_TIMEOUT_S
+        )
+        assert result.code == "running"
+
+
+async def _leader(client: control_client.Client) -> str:
+    status = await client.read("status", timeout=_TIMEOUT_S)
+    return str(status["leader"])
+
+
+async def _repair(client: control_client.Client, lost: settings.Member) -> None:
+    before = await client.read("status", timeout=_TIMEOUT_S)
+    old = next(
+        m["id"] for m in before["members"] if m["id"].startswith(lost.name)
+    )
+    await client.request(
+        messages.AddMember(
+            name=lost.name, host=lost.address.host, port=lost.address.port
+        ),
+        messages.Ack,
+        timeout=_TIMEOUT_S,
+    )
+    deadline = time.monotonic() + _TIMEOUT_S
+    while time.monotonic() < deadline:
+        members = (await client.read("status", timeout=_TIMEOUT_S))["members"]
+        ids = [m["id"] for m in members if m["voter"]]
+        if len(ids) == len(_NAMES) and old not in ids:
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"{lost.name} was not repaired: {members}")
+
+
+async def _run(processes: Processes) -> None:
+    client = processes.client()
+    client.start(watch=False)
+    for name in _NAMES:
+        processes.start(name)
+    await _claim_all(client)
+
+    leader = await _leader(client)
+    processes.kill(leader)
+    await _check_claims(client)
+    processes.start(leader)
+
+    lease = await client.propose(
+        commands.AcquireLease(name="scheduler", holder="s1"),
+        commands.LeaseResult,
+        timeout=_TIMEOUT_S,
+    )
+    renewal = messages.RenewLease(
+        name="scheduler", holder="s1", fencing=lease.fencing
+    )
+    stopped = await _leader(client)
+    processes.running[stopped].send_signal(signal.SIGSTOP)
+    resume_at = time.monotonic() + 2 * _LEASE_TTL_S
+    while time.monotonic() < resume_at:
+        await client.request(renewal, messages.LeaseRenewed, timeout=_TIMEOUT_S)
+        await asyncio.sleep(_LEASE_TTL_S / 10)
+    processes.running[stopped].send_signal(signal.SIGCONT)
+    with pytest.raises(errors.RemoteError, match="leader"):
+        await client.peers[stopped].request(
+            renewal, messages.LeaseRenewed, timeout=_TIMEOUT_S
+        )
+    await client.request(renewal, messages.LeaseRenewed, timeout=_TIMEOUT_S)
+
+    lost, second = (m for m in processes.members if m.name != stopped)
+    processes.kill(lost.name)
+    shutil.rmtree(processes.path / lost.name)
+    processes.start(lost.name)
+    await _repair(client, lost)
+    processes.kill(second.name)
+    shutil.rmtree(processes.path / second.name)
+    await _check_claims(client)
+    processes.start(second.name)
+    await _repair(client, second)
+
+    for name in _NAMES:
+        processes.kill(name)
+    for name in _NAMES:
+        processes.start(name)
+    await _check_claims(client)
+    leader = await _leader(client)
+    processes.running[leader].terminate()
+    await _check_claims(client)
+    assert processes.running.pop(leader).wait(_TIMEOUT_S) == 0
+    await client.stop()
+
+
+def test_no_change_is_lost(processes: Processes) -> None:
+    """Guards against changes lost by a killed, stopped or wiped member."""
+    asyncio.run(_run(processes))
