--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -308,35 +308,37 @@
         committed = self.raft.take_committed(_APPLY_ENTRIES)
         if committed is None:
             return
-        if committed.snapshot is not None:
-            self._machine.restore(committed.snapshot.data)
-            self.applied = committed.snapshot.last_index
-        for entry in committed.entries:
-            try:
+        try:
+            if committed.snapshot is not None:
+                self._machine.restore(committed.snapshot.data)
+                self.applied = committed.snapshot.last_index
+            for entry in committed.entries:
                 self._apply_entry(entry)
-            except Exception as error:
-                # Skipping the entry would make the members' states differ.
-                _LOG.exception("cannot apply entry %d", entry.index)
-                self._fail(
-                    errors.MonsoonhingeError(
-                        f"cannot apply entry {entry.index}: {error}",
-                        step="apply",
-                    )
+            self._compact()
+        except Exception as error:
+            # Going on without the entry would make the members differ.
+            _LOG.exception("state machine failed after %d", self.applied)
+            self._fail(
+                errors.MonsoonhingeError(
+                    f"state machine failed after entry {self.applied}: {error}",
+                    step="apply",
                 )
-                return
+            )
+            return
+        if self.applied < self.raft.state.commit:
+            self._loop.call_soon(self._flush)
+        self._progress.set()
+        self._progress = asyncio.Event()
+
+    def _compact(self) -> None:
         state = self.raft.state
-        if self.applied - state.log.snapshot.last_index >= (
-            self._snapshot_entries
-        ):
+        behind = self.applied - state.log.snapshot.last_index
+        if behind >= self._snapshot_entries:
             state.compact(
                 index=self.applied,
                 data=self._machine.snapshot(),
                 keep=self._snapshot_entries // 10,
             )
-        if self.applied < state.commit:
-            self._loop.call_soon(self._flush)
-        self._progress.set()
-        self._progress = asyncio.Event()
 
     def _apply_entry(self, entry: messages.Entry) -> None:
         result = b""
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -230,6 +230,8 @@
         data = message.command
         if isinstance(command, _STAMPED):
             command.now_ms = int(time.time() * 1000)
+            if isinstance(command, commands.ClaimCall):
+                command.limit_bytes = self.config.call_record_bytes
             data = codec.encode_command(command)
         index, result = await self.driver.propose(data)
         return messages.Proposed(index=index, result=result)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -124,7 +124,8 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.drop_rate = 0.0
-        self.write_rate = 0.8
+        self.delay_s = 0.02
+        self.write_rates = dict.fromkeys(NAMES, 0.8)
         self.paused: set[str] = set()
         self.cuts: set[tuple[str, str]] = set()
         self.disks = {name: FakeDisk() for name in NAMES}
@@ -194,6 +195,13 @@
                 node.core.leadership.read(token, node.clock(self.now))
                 self.settle(node)
 
+    def hand_over(self) -> None:
+        """Lets the leader hand over its leadership."""
+        node = self.leader()
+        if node is not None and node.core.leadership is not None:
+            node.core.leadership.transfer(node.clock(self.now))
+            self.settle(node)
+
     def repair(self) -> None:
         """Lets the leader replace a member that lost its directory."""
         node = self.leader()
@@ -215,15 +223,21 @@
     def storm(self, steps: int) -> None:
         """Injects random faults and commands in quick succession."""
         rng = self.rng
-        self.write_rate = rng.choice([0.1, 0.8])
+        self.write_rates = {n: rng.choice([0.05, 0.9]) for n in NAMES}
+        self.delay_s = rng.choice([0.005, 0.02, 0.2])
         for _ in range(steps):
             name, other = rng.sample(NAMES, 2)
-            match rng.choice("xXrrrcCCihhhpppppsSSRR"):
+            match rng.choice("xXqqqrrrcCCihhhpppppsSSRRt"):
                 case "x" if name in self.nodes:
                     self.crash(name)
                 case "X" if rng.random() < 0.3:
                     for running in list(self.nodes):
                         self.crash(running)
+                case "q" if name in self.nodes:
+                    self.crash(name)
+                    self.start(name)
+                case "t":
+                    self.hand_over()
                 case "r":
                     self.restart()
                 case "c":
@@ -247,7 +261,8 @@
                     self.repair()
             self.run(rng.choice([0.0, 0.05, 0.05, 0.2, 0.8, 1.5]))
         self.paused.clear()
-        self.write_rate = 0.8
+        self.write_rates = dict.fromkeys(NAMES, 0.9)
+        self.delay_s = 0.02
 
     def restart(self) -> None:
         """Starts every stopped member."""
@@ -282,7 +297,7 @@
                     continue
                 if (
                     node.write is not None
-                    and self.rng.random() < self.write_rate
+                    and self.rng.random() < self.write_rates[node.name]
                 ):
                     write, node.write = node.write, None
                     node.storage.write(write)
@@ -331,7 +346,7 @@
             if self.rng.random() < self.drop_rate:
                 continue
             self._sequence += 1
-            at = self.now + self.rng.expovariate(1 / 0.02)
+            at = self.now + self.rng.expovariate(1 / self.delay_s)
             heapq.heappush(
                 self._queue, (at, self._sequence, sender, to, message)
             )
--- a/tests/consensus/test_raft.py
+++ b/tests/consensus/test_raft.py
@@ -3,8 +3,11 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 from tests.consensus import cluster
 
+from monsoonhinge.consensus import progress
+
 _names = st.sampled_from(cluster.NAMES)
 
 
@@ -13,6 +16,10 @@
 
     @stateful.initialize(seed=st.integers(0, 2**32))
     def begin(self, seed: int) -> None:
+        # One entry per message and many chunks give more interleavings.
+        self.patches = pytest.MonkeyPatch()
+        self.patches.setattr(progress, "MAX_APPEND_BYTES", 1)
+        self.patches.setattr(progress, "CHUNK_BYTES", 64)
         self.cluster = cluster.Cluster(seed)
         self.proposed = 0
         self.cluster.run(2.0)
@@ -59,13 +66,17 @@
 
     @stateful.rule()
     def hand_over(self) -> None:
-        node = self.cluster.leader()
-        if node is not None and node.core.leadership is not None:
-            node.core.leadership.transfer(node.clock(self.cluster.now))
+        self.cluster.hand_over()
 
     def teardown(self) -> None:
         if not hasattr(self, "cluster"):
             return
+        try:
+            self._check_recovery()
+        finally:
+            self.patches.undo()
+
+    def _check_recovery(self) -> None:
         self.cluster.cuts.clear()
         self.cluster.drop_rate = 0.0
         self.cluster.restart()
@@ -83,7 +94,7 @@
 
 # The faults come from one random source, so shrinking finds nothing simpler.
 FaultyCluster.TestCase.settings = hypothesis.settings(
-    max_examples=200,
+    max_examples=250,
     stateful_step_count=12,
     phases=(hypothesis.Phase.generate,),
 )
