Serve a request from caller to target and back, thinly

Purpose: every later change starts from a running system. The gateway checks the key, waits for a replica, forwards the request and streams the answer; the scheduler commits a decision before it orders a load; the control process records non-repeatable calls. Control has one member and keeps its state in memory so far, and the scheduler takes the first target with room.

Before: no request could be served. After: tests/path starts five processes on loopback; a cold start with a stream, a refund sent twice and five kinds of refusal pass (8 tests in 2.5 s).

--- /dev/null
+++ b/src/monsoonhinge/emulator/__main__.py
@@ -0,0 +1,26 @@
+"""Entry point of ``monsoonhinge-emulator``."""
+
+import cappa
+
+from monsoonhinge.emulator import options
+from monsoonhinge.emulator import process
+from monsoonhinge.runtime import service
+
+
+@cappa.command(name="monsoonhinge-emulator")
+class Options(service.Options):
+    """Runs a stand-in target."""
+
+
+def main() -> None:
+    """Runs a stand-in target until it is stopped."""
+    service.run(
+        role="emulator",
+        options=cappa.parse(Options),
+        model=options.Emulator,
+        factory=process.EmulatorProcess.from_config,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/monsoonhinge/gateway/forward.py
@@ -0,0 +1,204 @@
+"""HTTP from the gateway to targets."""
+
+from collections.abc import AsyncIterator, Mapping
+import dataclasses
+import typing
+
+import aiohttp
+import multidict
+
+from monsoonhinge.runtime import errors
+
+_CHUNK_BYTES = 64 * 1024
+_CONNECT_TIMEOUT_S = 1.0
+
+# RFC 9110 section 7.6.1 and the fields that this system sets itself or that
+# carry secrets of the caller.
+_DROPPED_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "cookie",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "set-cookie",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-api-key",
+        "x-priority",
+        "x-request-id",
+        "x-request-timeout",
+    }
+)
+_DROPPED_PREFIX = "x-monsoonhinge-"
+
+
+class NotSent(errors.MonsoonhingeError):
+    """No byte of the request left for the target."""
+
+
+class AnswerLost(errors.MonsoonhingeError):
+    """The request may have run, but its answer did not arrive whole."""
+
+
+@dataclasses.dataclass(slots=True)
+class TargetRequest:
+    """A request as the target gets it.
+
+    Attributes:
+        request_id: Id that the target must echo.
+        address: Address of the target, ``host:port``.
+        method: HTTP method.
+        path: Path with query.
+        headers: Headers of the caller, not yet filtered.
+        body: Whole body.
+        priority: Priority at the engine; higher runs first.
+        timeout_s: Seconds until the whole answer must have arrived.
+    """
+
+    request_id: str
+    address: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    priority: int
+    timeout_s: float
+
+
+class Answer(typing.Protocol):
+    """An answer of a target whose headers have arrived."""
+
+    status: int
+    headers: multidict.CIMultiDict[str]
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body.
+
+        Raises:
+            AnswerLost: The body ended early.
+        """
+
+
+class Forwarder:
+    """Sends requests to targets and reads their answers."""
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self.session = session
+
+    @classmethod
+    def create(cls) -> "Forwarder":
+        """Makes a forwarder with its own connections; needs a running loop."""
+        return cls(
+            session=aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+            )
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.session.close()
+
+    async def send(self, request: TargetRequest) -> "HttpAnswer":
+        """Sends a request and returns once the answer's headers are here.
+
+        The caller must close the answer.
+
+        Raises:
+            NotSent: The target could not be reached.
+            AnswerLost: The connection broke after bytes may have left, or the
+                answer belongs to another request.
+        """
+        headers = filter_headers(request.headers)
+        headers["X-Request-Id"] = request.request_id
+        headers["X-Priority"] = str(request.priority)
+        step = "forward"
+        try:
+            response = await self.session.request(
+                request.method,
+                f"http://{request.address}{request.path}",
+                data=request.body,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=request.timeout_s, connect=_CONNECT_TIMEOUT_S
+                ),
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise NotSent(
+                f"cannot connect: {error}", step=step, peer=request.address
+            ) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise AnswerLost(
+                f"no answer: {error!r}", step=step, peer=request.address
+            ) from error
+        if response.headers.get("X-Request-Id") != request.request_id:
+            response.close()
+            raise AnswerLost(
+                "the target answered another request",
+                step=step,
+                peer=request.address,
+            )
+        return HttpAnswer(response=response, peer=request.address)
+
+
+class HttpAnswer:
+    """An answer over HTTP."""
+
+    def __init__(self, *, response: aiohttp.ClientResponse, peer: str) -> None:
+        self.status = response.status
+        self.headers = filter_headers(response.headers)
+        self._response = response
+        self._peer = peer
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body; see Answer."""
+        try:
+            async for chunk in self._response.content.iter_chunked(
+                _CHUNK_BYTES
+            ):
+                yield chunk
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise AnswerLost(
+                f"answer ended early: {error!r}", step="read", peer=self._peer
+            ) from error
+
+    async def read(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            AnswerLost: The body ended early.
+        """
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    def close(self) -> None:
+        """Closes the connection unless the whole answer was read."""
+        self._response.close()
+
+
+def filter_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
+    """Returns the headers that may pass between caller and target."""
+    nominated = {
+        name.strip().lower()
+        for name in headers.get("Connection", "").split(",")
+    }
+    return multidict.CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if (lower := name.lower()) not in _DROPPED_HEADERS
+        and lower not in nominated
+        and not lower.startswith(_DROPPED_PREFIX)
+    )
--- /dev/null
+++ b/src/monsoonhinge/gateway/schedulers.py
@@ -0,0 +1,73 @@
+"""Connections of a gateway to all schedulers."""
+
+from collections.abc import Callable, Sequence
+import contextlib
+
+from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import settings
+
+
+class Schedulers:
+    """Relays announcements and demand, and receives directories.
+
+    Attributes:
+        peers: One connection per scheduler.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[settings.Address],
+        identity: connection.Identity,
+        availability_zone: str,
+        on_message: Callable[[messages.Message], None],
+    ) -> None:
+        self.peers = [
+            connection.Peer(
+                host=address.host,
+                port=address.port,
+                identity=identity,
+                handler=self,
+            )
+            for address in addresses
+        ]
+        self._identity = identity
+        self._availability_zone = availability_zone
+        self._on_message = on_message
+
+    def start(self) -> None:
+        """Begins to connect."""
+        for peer in self.peers:
+            peer.start()
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        for peer in self.peers:
+            await peer.stop()
+
+    def broadcast(self, message: messages.Message) -> None:
+        """Sends a notification to every reachable scheduler."""
+        for peer in self.peers:
+            with contextlib.suppress(errors.ConnectionLost):
+                peer.notify(message)
+
+    def connected(self, link: connection.Connection) -> None:
+        """Subscribes to the directory of a scheduler."""
+        link.notify(
+            messages.Subscribe(
+                gateway=self._identity.node,
+                availability_zone=self._availability_zone,
+            )
+        )
+
+    def disconnected(self, link: connection.Connection) -> None:
+        """Nothing to do: entries expire by age."""
+
+    async def handle(
+        self, link: connection.Connection, message: messages.Message
+    ) -> messages.Message | None:
+        """Passes on what a scheduler publishes."""
+        self._on_message(message)
+        return None
--- /dev/null
+++ b/tests/path/test_path.py
@@ -0,0 +1,209 @@
+"""A request through real processes, from a caller to a target and back."""
+
+import asyncio
+from collections.abc import Iterator
+import json
+import pathlib
+from typing import Any
+import urllib.error
+import urllib.request
+
+import pytest
+
+from monsoonhinge.bench import local
+from monsoonhinge.config import schema
+from monsoonhinge.config import validate
+from monsoonhinge.config import view
+from monsoonhinge.control import client
+from monsoonhinge.protocol import commands
+from monsoonhinge.protocol import connection
+from monsoonhinge.runtime import settings
+
+KEY = "barril-publican-key"
+
+OBJECTS: list[dict[str, Any]] = [
+    {
+        "kind": "model",
+        "name": "deposit-assistant",
+        "versions": [{"version": "1", "weights_bytes": 10**10, "load_s": 0.5}],
+        "current": "1",
+        "kv_bytes_per_replica": 10**9,
+    },
+    {
+        "kind": "team",
+        "name": "bars",
+        "tokens_per_s": 10_000,
+        "burst_tokens": 100_000,
+    },
+    {
+        "kind": "service",
+        "name": "ledger",
+        "non_repeatable": [{"method": "POST", "path_prefix": "/refunds"}],
+    },
+    {
+        "kind": "route",
+        "name": "assistant",
+        "model": "deposit-assistant",
+        "teams": ["bars"],
+    },
+    {"kind": "route", "name": "ledger", "service": "ledger", "teams": ["bars"]},
+]
+
+
+async def publish(cluster: local.Cluster) -> None:
+    """Publishes the objects and grants the key."""
+    operator = settings.read(
+        cluster.settings_path("operator"), settings.Operator
+    )
+    control = client.Client(
+        members=operator.control,
+        identity=connection.Identity(
+            node="test",
+            role="operator",
+            incarnation=1,
+            secret=operator.cluster_secret.encode(),
+        ),
+    )
+    control.start(watch=False)
+    objects = validate.parse_set(OBJECTS)
+    result = await control.propose(
+        commands.PublishConfig(
+            version=1,
+            digest=validate.digest(objects.values()),
+            publisher="test",
+            objects=[schema.canonical(item) for item in objects.values()],
+        ),
+        commands.ConfigResult,
+        timeout=10,
+    )
+    assert result.code == "accepted"
+    result = await control.propose(
+        commands.GrantKey(
+            name="publican",
+            team="bars",
+            hash=view.key_hash(secret=local.KEY_SECRET.encode(), key=KEY),
+        ),
+        commands.ConfigResult,
+        timeout=10,
+    )
+    assert result.code == "accepted"
+    await control.stop()
+
+
+@pytest.fixture(scope="module")
+def cluster(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[local.Cluster]:
+    """A small cluster with the objects published."""
+    folder: pathlib.Path = tmp_path_factory.mktemp("cluster")
+    small = local.Cluster.plan(
+        folder, service={"services": ["ledger"]}, engine={"announce_s": 0.2}
+    )
+    small.start()
+    try:
+        asyncio.run(publish(small))
+        small.wait_ready()
+        yield small
+    finally:
+        small.stop()
+
+
+def post(
+    cluster: local.Cluster, path: str, body: Any, **headers: str
+) -> tuple[int, dict[str, str], str]:
+    """Posts JSON to the first gateway."""
+    port = cluster.nodes["gateway-0"].settings["callers"]["port"]
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{port}{path}",
+        data=body if isinstance(body, bytes) else json.dumps(body).encode(),
+        headers={name.replace("_", "-"): v for name, v in headers.items()},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=30) as response:
+            return (
+                response.status,
+                dict(response.headers),
+                (response.read().decode()),
+            )
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read().decode()
+
+
+BEARER = f"Bearer {KEY}"
+
+
+def test_stream_with_cold_start(cluster: local.Cluster) -> None:
+    """Guards against a cold model whose first caller gets no answer."""
+    status, headers, text = post(
+        cluster,
+        "/v1/chat/completions",
+        {"model": "assistant", "stream": True, "max_tokens": 5},
+        Authorization=BEARER,
+        X_Request_Id="req-1",
+    )
+    assert status == 200, text
+    assert headers["X-Request-Id"] == "req-1"
+    assert text.endswith("data: [DONE]\n\n")
+    assert text.count("word") == 5
+
+
+def test_refund_sent_twice_runs_once(cluster: local.Cluster) -> None:
+    """Guards against a refund that is credited twice."""
+    answers = [
+        post(
+            cluster,
+            "/services/ledger/refunds/7",
+            {"kegs": 3},
+            Authorization=BEARER,
+            Idempotency_Key="refund-7",
+        )
+        for _ in range(2)
+    ]
+    assert [answer[0] for answer in answers] == [200, 200]
+    assert answers[0][2] == answers[1][2]
+    assert cluster.dump("service-0")["runs"]["POST /refunds/7"] == 1
+
+
+def test_no_target_sees_a_key(cluster: local.Cluster) -> None:
+    """Guards against a caller's key in a request to a target."""
+    post(
+        cluster,
+        "/services/ledger/depots",
+        {},
+        Authorization=BEARER,
+        Cookie="session=1",
+        X_Monsoonhinge_Fencing="9",
+    )
+    for name in ("service-0", "engine-0"):
+        text = json.dumps(cluster.dump(name)["received"])
+        assert KEY not in text
+        assert "session=1" not in text
+        assert "X-Monsoonhinge" not in text
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "status", "code"),
+    [
+        ({"model": "assistant"}, {}, 401, "key_required"),
+        (
+            {"model": "assistant"},
+            {"Authorization": "Bearer no"},
+            401,
+            "invalid_key",
+        ),
+        ({"model": "nothing"}, {"Authorization": BEARER}, 404, "unknown_route"),
+        (b"{", {"Authorization": BEARER}, 400, "invalid_json"),
+        ({"model": 3}, {"Authorization": BEARER}, 400, "invalid_request"),
+    ],
+)
+def test_refusal(
+    cluster: local.Cluster,
+    body: Any,
+    headers: dict[str, str],
+    status: int,
+    code: str,
+) -> None:
+    """Guards against bad requests that crash or get an unclear answer."""
+    got, _, text = post(cluster, "/v1/chat/completions", body, **headers)
+    error = json.loads(text)["error"]
+    assert (got, error["code"], error["not_run"]) == (status, code, True)
