Set capnp fields one by one in the codec

Cause: profiling showed new_message(dict) and to_dict() taking over 80% of the time per message. Ruled out: caching builders, because the copies cost more than they save. Processor time before and after, same machine and run: a probe 43 to 8 us encoded and 36 to 20 us decoded; 10 announcements of 5 replicas 2,240 to 529 us encoded and 1,320 to 1,043 us decoded; 16 log entries of 200 bytes 106 to 72 us and 275 to 141 us. Conclusion: decoding is now the larger half; it is bounded by attribute reads in the binding.

--- a/src/monsoonhinge/protocol/codec.py
+++ b/src/monsoonhinge/protocol/codec.py
@@ -19,8 +19,6 @@
 # the largest frame size can cause when its pointers overlap.
 _TRAVERSAL_LIMIT_WORDS = 16 * 1024 * 1024
 
-_Convert = Callable[[Any], Any]
-
 
 @dataclasses.dataclass(slots=True)
 class Envelope:
@@ -50,8 +48,10 @@
     Raises:
         errors.ProtocolError: The bytes are not a valid envelope.
     """
-    fields, body = _decode("Envelope", messages.Message, data)
-    return Envelope(id=fields["id"], reply=fields["reply"], body=body)
+    (request_id, reply), body = _decode(
+        "Envelope", messages.Message, data, "id", "reply"
+    )
+    return Envelope(id=request_id, reply=reply, body=body)
 
 
 def encode_command(command: commands.Command) -> bytes:
@@ -85,23 +85,23 @@
 
 
 def _encode(struct: str, body: Any, **fields: Any) -> bytes:
+    builder = getattr(_schema(), struct).new_message(**fields)
     cls: Any = type(body)
-    name = _union_name(cls)
-    content = _to_struct(cls)(body)
-    builder = getattr(_schema(), struct).new_message(
-        body={name: content}, **fields
-    )
+    _fill(builder.body.init(_union_name(cls)), body, cls)
     return typing.cast(bytes, builder.to_bytes())
 
 
-def _decode(struct: str, union: Any, data: bytes) -> tuple[dict[str, Any], Any]:
+def _decode(
+    struct: str, union: Any, data: bytes, *names: str
+) -> tuple[list[Any], Any]:
     try:
         with getattr(_schema(), struct).from_bytes(
             data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
         ) as reader:
-            fields = reader.to_dict(verbose=True)
-        ((name, content),) = fields.pop("body").items()
-        return fields, _from_struct(_classes(union)[name])(content)
+            fields = [getattr(reader, name) for name in names]
+            name = str(reader.body.which())
+            cls = _classes(union)[name]
+            return fields, _reader(cls)(getattr(reader.body, name))
     except (
         capnp.KjException,
         UnicodeDecodeError,
@@ -136,52 +136,71 @@
     return first + "".join(word.title() for word in rest)
 
 
-def _element(annotation: Any, leaf: Callable[[Any], _Convert]) -> Any:
-    """Returns a converter for an annotation, or None for plain values."""
-    if typing.get_origin(annotation) is list:
-        inner = _element(typing.get_args(annotation)[0], leaf)
-        if inner is None:
-            return list
-        return lambda values: [inner(value) for value in values]
-    if dataclasses.is_dataclass(annotation):
-        return leaf(annotation)
-    return None
+class _Field(typing.NamedTuple):
+    """How one field is converted.
 
+    Attributes:
+        name: Name in the data class.
+        camel: Name in the schema.
+        is_list: Whether it is a list.
+        element: Data class of the list's elements, or None for plain values.
+    """
 
-@functools.cache
-def _plan(cls: Any, to_struct: bool) -> list[tuple[str, str, Any]]:
-    leaf = _to_struct if to_struct else _from_struct
-    return [
-        (field.name, _camel(field.name), _element(field.type, leaf))
-        for field in dataclasses.fields(cls)
-    ]
+    name: str
+    camel: str
+    is_list: bool
+    element: Any
 
 
 @functools.cache
-def _to_struct(cls: Any) -> _Convert:
-    plan = _plan(cls, True)
-
-    def convert(value: Any) -> dict[str, Any]:
-        result: dict[str, Any] = {}
-        for name, camel, element in plan:
-            item = getattr(value, name)
-            # A default costs neither bytes nor time when it is left out.
-            if item:
-                result[camel] = item if element is None else element(item)
-        return result
-
-    return convert
+def _fields(cls: Any) -> list[_Field]:
+    fields = []
+    for field in dataclasses.fields(cls):
+        is_list = typing.get_origin(field.type) is list
+        element = typing.get_args(field.type)[0] if is_list else None
+        if not dataclasses.is_dataclass(element):
+            element = None
+        fields.append(_Field(field.name, _camel(field.name), is_list, element))
+    return fields
+
+
+# Setting fields one by one is several times faster than handing capnp a dict.
+def _fill(builder: Any, value: Any, cls: Any) -> None:
+    for name, camel, is_list, element_class in _fields(cls):
+        item = getattr(value, name)
+        # A default costs neither bytes nor time when it is left out.
+        if not item:
+            continue
+        if not is_list:
+            setattr(builder, camel, item)
+            continue
+        elements = builder.init(camel, len(item))
+        for position, element in enumerate(item):
+            if element_class is None:
+                elements[position] = element
+            else:
+                _fill(elements[position], element, element_class)
 
 
 @functools.cache
-def _from_struct(cls: Any) -> _Convert:
-    plan = _plan(cls, False)
-
-    def convert(fields: dict[str, Any]) -> Any:
-        arguments = {}
-        for name, camel, element in plan:
-            value = fields[camel]
-            arguments[name] = value if element is None else element(value)
-        return cls(**arguments)
-
-    return convert
+def _reader(cls: Any) -> Callable[[Any], Any]:
+    """Returns a function that makes an instance from a capnp reader."""
+    plan = [(field.camel, _list_reader(field)) for field in _fields(cls)]
+
+    def read(reader: Any) -> Any:
+        values = []
+        for camel, convert in plan:
+            value = getattr(reader, camel)
+            values.append(value if convert is None else convert(value))
+        return cls(*values)
+
+    return read
+
+
+def _list_reader(field: _Field) -> Callable[[Any], list[Any]] | None:
+    if not field.is_list:
+        return None
+    if field.element is None:
+        return list
+    element = _reader(field.element)
+    return lambda values: [element(value) for value in values]
