Count bytes between processes by the peer's role

Cause: the budget of 22 KB/s per daemon could not be checked on a running process. Counting per peer was ruled out because its labels grow with the fleet; the role is taken only after authentication for the same reason. After: two counters on /metrics.

--- a/src/monsoonhinge/protocol/connection.py
+++ b/src/monsoonhinge/protocol/connection.py
@@ -1,6 +1,7 @@
 """Requests, replies and notifications over one TCP connection."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import logging
 import os
@@ -8,6 +9,8 @@
 import typing
 from typing import TypeVar
 
+import prometheus_client
+
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import frames
 from monsoonhinge.protocol import messages
@@ -24,6 +27,17 @@
 
 _LOG = logging.getLogger(__name__)
 
+_SENT_BYTES = prometheus_client.Counter(
+    "monsoonhinge_peer_sent_bytes_total",
+    "Bytes sent to other processes of the system, by their role",
+    ["role"],
+)
+_RECEIVED_BYTES = prometheus_client.Counter(
+    "monsoonhinge_peer_received_bytes_total",
+    "Bytes received from other processes of the system, by their role",
+    ["role"],
+)
+
 _Reply = TypeVar("_Reply")
 
 
@@ -90,6 +104,10 @@
         self._next_id = 1
         self._tasks: set[asyncio.Task[None]] = set()
         self._handshake_timer: asyncio.TimerHandle | None = None
+        self._count_sent: Callable[[float], None] = _SENT_BYTES.labels("").inc
+        self._count_received: Callable[[float], None] = _RECEIVED_BYTES.labels(
+            ""
+        ).inc
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sends the hello."""
@@ -135,6 +153,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles all frames that are complete."""
+        self._count_received(len(data))
         try:
             for payload in self._splitter.feed(data):
                 self._receive_frame(payload)
@@ -235,7 +254,9 @@
                 step=type(envelope.body).__name__,
                 peer=self.peer,
             )
-        transport.write(frames.frame(self._send.seal(codec.encode(envelope))))
+        data = frames.frame(self._send.seal(codec.encode(envelope)))
+        transport.write(data)
+        self._count_sent(len(data))
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             _LOG.warning(
                 "closing connection: peer does not read",
@@ -294,6 +315,9 @@
             raise errors.ProtocolError(
                 "second frame is not a proof", step="handshake", peer=self.peer
             )
+        # Only now is the role known to be genuine, which bounds the labels.
+        self._count_sent = _SENT_BYTES.labels(self.remote.role).inc
+        self._count_received = _RECEIVED_BYTES.labels(self.remote.role).inc
         self.ready = True
         self.ready_event.set()
         self._handler.connected(self)
