Find the target of a non-repeatable call before claiming it

Cause: a call that arrived before its service had announced itself was claimed and then refused without a target; the claim stayed running, so a repeat with the same key waited for its whole deadline (seen as a 30 s timeout in 2 of 10 runs of tests/path). Ruled out: a lost reply of the control process, whose log shows the claim applied. After: the target is found first; the test waits for both targets. Conclusion: anything that can refuse a call belongs before its claim.

--- a/src/monsoonhinge/gateway/process.py
+++ b/src/monsoonhinge/gateway/process.py
@@ -220,6 +220,8 @@
         claim = calls.Claim(
             team=admitted.team, route=admitted.route.name, key=key
         )
+        # Found before the claim: a claim without a target would stay running.
+        address = self._service_address(found.name)
         recorded = await self.calls.claim(
             claim,
             digest=calls.call_digest(
@@ -239,7 +241,7 @@
             answer = await self.forwarder.send(
                 self._target_request(
                     request,
-                    self._service_address(found.name),
+                    address,
                     path,
                     body,
                     admitted.route,
--- a/tests/path/test_path.py
+++ b/tests/path/test_path.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import json
 import pathlib
+import time
 from typing import Any
 import urllib.error
 import urllib.request
@@ -90,6 +91,14 @@
     await control.stop()
 
 
+def wait_for_targets(cluster: local.Cluster) -> None:
+    """Waits until the gateway knows both targets."""
+    deadline = time.monotonic() + 20
+    while len(cluster.dump("gateway-0")["targets"]) < 2:
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+
+
 @pytest.fixture(scope="module")
 def cluster(
     tmp_path_factory: pytest.TempPathFactory,
@@ -103,6 +112,7 @@
     try:
         asyncio.run(publish(small))
         small.wait_ready()
+        wait_for_targets(small)
         yield small
     finally:
         small.stop()
