Publish directory structure to all and load only to those interested

Ruled out: a lower rate for everything (load would be 150 s old within the budget) and gossip among gateways. The push-to-interested idea is that of publish and subscribe for DNS records (Engelbart et al., 2025). Now structure goes to all, load to those who follow a model, liveness as one bound with exceptions. Found by the state machine: a copy that drops late entries by itself never gets them back, so a copy only stops using them. Conclusion: to be wired into both processes.

--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -419,6 +419,56 @@
     retry_after_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Interest:
+    """Models whose load a gateway wants to follow; replaces earlier ones."""
+
+    models: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaLoad:
+    """Load of one replica; ``replica`` is the CRC-32 of its order id."""
+
+    replica: int = 0
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLoad:
+    """Load of a target's replicas since its last structural update."""
+
+    target: str = ""
+    sequence: int = 0
+    age_ms: int = 0
+    loads: list[ReplicaLoad] = dataclasses.field(default_factory=list)
+    cache_batch: int = 0
+    cache_events: list[CacheEvent] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class TargetAge:
+    """Age of the latest announcement of a target that is late."""
+
+    target: str = ""
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Loads:
+    """Heartbeat of a directory subscription.
+
+    Every target in the directory was heard at most ``bound_ms`` before the
+    message was sent, except those listed in ``late``. ``targets`` are loads
+    that the gateway is interested in.
+    """
+
+    bound_ms: int = 0
+    late: list[TargetAge] = dataclasses.field(default_factory=list)
+    targets: list[TargetLoad] = dataclasses.field(default_factory=list)
+
+
 Message = (
     Hello
     | HelloProof
@@ -451,4 +501,6 @@
     | Verdict
     | GrantRequest
     | Grant
+    | Interest
+    | Loads
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -264,6 +264,36 @@
   retryAfterMs @4 :Int64;
 }
 
+struct Interest {
+  models @0 :List(Text);
+}
+
+struct ReplicaLoad {
+  replica @0 :UInt64;
+  running @1 :Int64;
+  waiting @2 :Int64;
+}
+
+struct TargetLoad {
+  target @0 :Text;
+  sequence @1 :UInt64;
+  ageMs @2 :Int64;
+  loads @3 :List(ReplicaLoad);
+  cacheBatch @4 :UInt64;
+  cacheEvents @5 :List(CacheEvent);
+}
+
+struct TargetAge {
+  target @0 :Text;
+  ageMs @1 :Int64;
+}
+
+struct Loads {
+  boundMs @0 :Int64;
+  late @1 :List(TargetAge);
+  targets @2 :List(TargetLoad);
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -300,6 +330,8 @@
     verdict @30 :Verdict;
     grantRequest @31 :GrantRequest;
     grant @32 :Grant;
+    interest @33 :Interest;
+    loads @34 :Loads;
   }
 }
 
--- a/src/monsoonhinge/scheduler/directory.py
+++ b/src/monsoonhinge/scheduler/directory.py
@@ -74,6 +74,17 @@
             if not entry.state.leaving:
                 yield entry
 
+    def usable(self, now: float) -> Iterator[Entry]:
+        """Yields the targets that were heard in time and may get new work.
+
+        A subscriber's copy keeps late entries until the publisher removes
+        them, because an entry that it dropped by itself would not be sent
+        again while its structure stays the same.
+        """
+        for entry in self.available():
+            if now - entry.heard_at <= EXPIRY_S:
+                yield entry
+
     def snapshot(self, now: float) -> list[messages.TargetState]:
         """Returns all announcements with their current ages."""
         return [
