--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -37,6 +37,7 @@
   lastIndex @2 :UInt64;
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
+  transfer @5 :Bool;
 }
 
 struct VoteReply {
@@ -294,6 +295,41 @@
   targets @2 :List(TargetLoad);
 }
 
+struct TimeoutNow {
+  term @0 :UInt64;
+  leader @1 :Text;
+}
+
+struct SubscriberState {
+  session @0 :Text;
+  role @1 :Text;
+  version @2 :UInt64;
+}
+
+struct RelayProbe {
+  subscribers @0 :List(SubscriberState);
+}
+
+struct DescribeMember {
+}
+
+struct MemberDescription {
+  name @0 :Text;
+  identity @1 :Text;
+  founded @2 :Bool;
+}
+
+struct AddMember {
+  name @0 :Text;
+  host @1 :Text;
+  port @2 :Int64;
+}
+
+struct RemoveMember {
+  name @0 :Text;
+  force @1 :Bool;
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -332,6 +368,12 @@
     grant @32 :Grant;
     interest @33 :Interest;
     loads @34 :Loads;
+    timeoutNow @35 :TimeoutNow;
+    relayProbe @36 :RelayProbe;
+    describeMember @37 :DescribeMember;
+    memberDescription @38 :MemberDescription;
+    addMember @39 :AddMember;
+    removeMember @40 :RemoveMember;
   }
 }
 
