--- a/src/monsoonhinge/control/machine.py
+++ b/src/monsoonhinge/control/machine.py
@@ -1,68 +1,76 @@
 """Deterministic state machine behind the replicated log."""
 
-import dataclasses
-import json
+import struct
 from typing import Any
 
+from monsoonhinge.control.state import budgets
+from monsoonhinge.control.state import calls
+from monsoonhinge.control.state import configuration
+from monsoonhinge.control.state import decisions
+from monsoonhinge.control.state import keys
+from monsoonhinge.control.state import leases
+from monsoonhinge.control.state import rows
 from monsoonhinge.protocol import commands
+from monsoonhinge.runtime import errors
 
+_SCHEDULER_LEASE = "scheduler"
 
-@dataclasses.dataclass(slots=True)
-class Lease:
-    """A lease and the fencing number of its current grant."""
-
-    holder: str
-    fencing: int
-
-
-@dataclasses.dataclass(slots=True)
-class Call:
-    """Record of a non-repeatable call."""
-
-    digest: bytes
-    gateway: str
-    claim_id: str
-    claimed_ms: int
-    state: str = "running"
-    status: int = 0
-    headers: bytes = b""
-    body: bytes = b""
-
-
-@dataclasses.dataclass(slots=True)
-class Publication:
-    """Who made a configuration version."""
-
-    digest: bytes
-    publisher: str
-
-
-CallKey = tuple[str, str, str]
+# Format of the snapshot and the index of the last applied command.
+_HEADER = struct.Struct("<8sQ")
+_FORMAT = b"mhstate1"
 
 
 class Machine:
     """State that is the same on every control member.
 
     Attributes:
-        version: Configuration version in effect.
-        objects: Canonical JSON objects by ``kind/name``.
-        publications: What was published under each version.
-        withdrawn: Hashes of withdrawn keys by key name.
-        leases: Leases held, by name.
-        calls: Records of non-repeatable calls.
-        decisions: Decided replicas by decision id.
-        budgets: Latest budget checkpoint of each team.
+        index: Log index of the last applied command.
+        configuration: Configuration in effect and its history.
+        keys: Keys and tombstones.
+        lease_table: Leases.
+        call_table: Records of non-repeatable calls.
+        decision_table: Decided replicas.
+        budget_table: Budget checkpoints.
     """
 
     def __init__(self) -> None:
-        self.version = 0
-        self.objects: dict[str, bytes] = {}
-        self.publications: dict[int, Publication] = {}
-        self.withdrawn: dict[str, str] = {}
-        self.leases: dict[str, Lease] = {}
-        self.calls: dict[CallKey, Call] = {}
-        self.decisions: dict[str, commands.ReplicaChange] = {}
-        self.budgets: dict[str, commands.CheckpointBudget] = {}
+        self.index = 0
+        self.configuration = configuration.Configuration()
+        self.keys = keys.Keys()
+        self.lease_table = leases.Leases()
+        self.call_table = calls.Calls()
+        self.decision_table = decisions.Decisions()
+        self.budget_table = budgets.Budgets()
+
+    @property
+    def version(self) -> int:
+        """Configuration version in effect."""
+        return self.configuration.version
+
+    @property
+    def objects(self) -> dict[str, bytes]:
+        """Canonical objects by ``kind/name``; replaced on every change."""
+        return self.configuration.objects
+
+    @property
+    def leases(self) -> dict[str, leases.Lease]:
+        """Leases held, by name."""
+        return self.lease_table.held
+
+    @property
+    def calls(self) -> dict[calls.Key, calls.Call]:
+        """Call records by team, route and idempotency key."""
+        return self.call_table.records
+
+    @property
+    def decisions(self) -> dict[str, commands.ReplicaChange]:
+        """Decided replicas by decision id."""
+        return self.decision_table.decided
+
+    @property
+    def budgets(self) -> dict[str, commands.CheckpointBudget]:
+        """Latest budget checkpoint of each team."""
+        return self.budget_table.checkpoints
 
     def apply(self, index: int, command: commands.Command) -> commands.Result:
         """Applies one committed command.
@@ -70,243 +78,114 @@
         Args:
             index: Log index of the command.
             command: The command.
+
+        Raises:
+            errors.ProtocolError: The index was applied already. Applying it
+                again could give a fencing number out twice.
         """
+        if index <= self.index:
+            raise errors.ProtocolError(
+                f"index {index} does not follow {self.index}", step="apply"
+            )
+        self.index = index
         match command:
             case commands.PublishConfig():
-                return self._publish(command)
+                return self.configuration.publish(command)
             case commands.GrantKey():
-                return self._grant_key(command)
+                return self.keys.grant(self.configuration, command)
             case commands.WithdrawKey():
-                return self._withdraw_key(command)
+                return self.keys.withdraw(self.configuration, command)
             case commands.AcquireLease():
-                return self._acquire(index, command)
+                return self.lease_table.acquire(index, command)
             case commands.ReleaseLease() | commands.ExpireLease():
-                return self._end_lease(command.name, command.fencing)
+                return self.lease_table.end(command)
             case commands.ClaimCall():
-                return self._claim(command)
+                return self.call_table.claim(command)
             case commands.FinishCall():
-                return self._finish(command)
+                return self.call_table.finish(command)
             case commands.AbandonCalls():
-                for call in self.calls.values():
-                    if (
-                        call.gateway == command.gateway
-                        and call.state == "running"
-                    ):
-                        call.state = "unknown"
+                self.call_table.abandon(command.gateway)
                 return commands.Accepted(accepted=True)
             case commands.DropCalls():
-                for key, call in list(self.calls.items()):
-                    if call.claimed_ms < command.before_ms:
-                        del self.calls[key]
+                self.call_table.drop(command.before_ms)
                 return commands.Accepted(accepted=True)
             case commands.DecideReplicas():
-                return self._decide(command)
+                if not self.lease_table.holds(
+                    _SCHEDULER_LEASE, command.fencing
+                ):
+                    return commands.Accepted(reason="old fencing number")
+                return self.decision_table.decide(command)
             case commands.CheckpointBudget():
-                return self._checkpoint(command)
+                if not self.lease_table.holds(command.shard, command.fencing):
+                    return commands.Accepted(reason="old fencing number")
+                return self.budget_table.checkpoint(command)
 
     def document(self, section: str) -> dict[str, Any]:
-        """Returns one section as a JSON-compatible document."""
+        """Returns one section as a JSON-compatible document.
+
+        Raises:
+            errors.ProtocolError: There is no such section.
+        """
         match section:
             case "config":
-                return {
-                    "version": self.version,
-                    "objects": [json.loads(o) for o in self.objects.values()],
-                }
+                return self.configuration.document()
             case "leases":
-                return {
-                    name: dataclasses.asdict(lease)
-                    for name, lease in self.leases.items()
-                }
+                return self.lease_table.document()
             case "decisions":
-                return {
-                    name: dataclasses.asdict(change)
-                    for name, change in self.decisions.items()
-                }
+                return self.decision_table.document()
             case "budgets":
-                return {
-                    name: dataclasses.asdict(checkpoint)
-                    for name, checkpoint in self.budgets.items()
-                }
+                return self.budget_table.document()
+            case "calls":
+                return self.call_table.document()
             case _:
-                return {}
-
-    def _publish(
-        self, command: commands.PublishConfig
-    ) -> commands.ConfigResult:
-        previous = self.publications.get(command.version)
-        if previous is not None:
-            return self._repeated(command.version, command.digest, previous)
-        if command.version != self.version + 1:
-            return commands.ConfigResult(
-                code="conflict",
-                message=f"version {self.version} is in effect",
-                version=self.version,
-            )
-        objects = {
-            _object_id(json.loads(data)): data for data in command.objects
-        }
-        for object_id, data in self.objects.items():
-            if object_id.startswith("key/"):
-                team = json.loads(data)["team"]
-                if f"team/{team}" not in objects:
-                    return commands.ConfigResult(
-                        code="invalid",
-                        message=f"{object_id}: team: team/{team} is missing",
-                        version=self.version,
-                    )
-                objects[object_id] = data
-        return self._advance(objects, command.digest, command.publisher)
-
-    def _repeated(
-        self, version: int, digest: bytes, previous: Publication
-    ) -> commands.ConfigResult:
-        same = previous.digest == digest
-        return commands.ConfigResult(
-            code="accepted" if same else "conflict",
-            message=""
-            if same
-            else f"version {version} was published by {previous.publisher}",
-            version=version,
-            publisher=previous.publisher,
-            digest=previous.digest,
+                raise errors.ProtocolError(
+                    f"unknown section {section!r}", step="read state"
+                )
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state; equal states have equal bytes."""
+        return b"".join(
+            [
+                _HEADER.pack(_FORMAT, self.index),
+                rows.encode(self.configuration.to_rows()),
+                rows.encode(self.keys.to_rows()),
+                rows.encode(self.lease_table.to_rows()),
+                rows.encode(self.call_table.to_rows()),
+                rows.encode(self.decision_table.to_rows()),
+                rows.encode(self.budget_table.to_rows()),
+            ]
         )
 
-    def _advance(
-        self, objects: dict[str, bytes], digest: bytes, publisher: str
-    ) -> commands.ConfigResult:
-        self.version += 1
-        self.objects = objects
-        self.publications[self.version] = Publication(digest, publisher)
-        return commands.ConfigResult(
-            code="accepted",
-            version=self.version,
-            publisher=publisher,
-            digest=digest,
-        )
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state with a snapshot.
 
-    def _grant_key(self, command: commands.GrantKey) -> commands.ConfigResult:
-        object_id = f"key/{command.name}"
-        document = {
-            "kind": "key",
-            "name": command.name,
-            "team": command.team,
-            "hash": command.hash,
-        }
-        data = json.dumps(
-            document, sort_keys=True, separators=(",", ":")
-        ).encode()
-        if self.objects.get(object_id) == data:
-            return commands.ConfigResult(code="accepted", version=self.version)
-        problem = ""
-        if f"team/{command.team}" not in self.objects:
-            problem = f"team/{command.team} does not exist"
-        elif command.hash in self.withdrawn.values():
-            problem = "this key was withdrawn"
-        elif object_id in self.objects:
-            problem = f"{object_id} exists already"
-        if problem:
-            return commands.ConfigResult(
-                code="invalid", message=problem, version=self.version
-            )
-        return self._advance(
-            {**self.objects, object_id: data}, b"", command.publisher
-        )
-
-    def _withdraw_key(
-        self, command: commands.WithdrawKey
-    ) -> commands.ConfigResult:
-        object_id = f"key/{command.name}"
-        data = self.objects.get(object_id)
-        if data is None:
-            known = command.name in self.withdrawn
-            return commands.ConfigResult(
-                code="accepted" if known else "invalid",
-                message="" if known else f"{object_id} does not exist",
-                version=self.version,
-            )
-        self.withdrawn[command.name] = json.loads(data)["hash"]
-        objects = dict(self.objects)
-        del objects[object_id]
-        return self._advance(objects, b"", command.publisher)
-
-    def _acquire(
-        self, index: int, command: commands.AcquireLease
-    ) -> commands.LeaseResult:
-        lease = self.leases.get(command.name)
-        if lease is None:
-            lease = Lease(holder=command.holder, fencing=index)
-            self.leases[command.name] = lease
-        return commands.LeaseResult(
-            granted=lease.holder == command.holder,
-            holder=lease.holder,
-            fencing=lease.fencing,
-        )
-
-    def _end_lease(self, name: str, fencing: int) -> commands.Accepted:
-        lease = self.leases.get(name)
-        if lease is not None and lease.fencing == fencing:
-            del self.leases[name]
-        return commands.Accepted(accepted=True)
-
-    def _claim(self, command: commands.ClaimCall) -> commands.CallResult:
-        key = (command.team, command.route, command.key)
-        call = self.calls.get(key)
-        if call is None:
-            self.calls[key] = Call(
-                digest=command.digest,
-                gateway=command.gateway,
-                claim_id=command.claim_id,
-                claimed_ms=command.now_ms,
-            )
-            return commands.CallResult(code="won")
-        if call.digest != command.digest:
-            return commands.CallResult(code="conflict")
-        if call.state == "running" and call.claim_id == command.claim_id:
-            return commands.CallResult(code="won")
-        return commands.CallResult(
-            code=call.state,
-            status=call.status,
-            headers=call.headers,
-            body=call.body,
+        Raises:
+            errors.ProtocolError: The snapshot is malformed; the state is as
+                it was.
+        """
+        try:
+            restored = self._read(data)
+        except (ValueError, TypeError, KeyError, StopIteration) as error:
+            raise errors.ProtocolError(
+                f"malformed snapshot: {error}", step="restore snapshot"
+            ) from error
+        self.__dict__.update(restored.__dict__)
+
+    @classmethod
+    def _read(cls, data: bytes) -> "Machine":
+        reader = rows.Reader(data)
+        form, index = _HEADER.unpack(reader.take(_HEADER.size))
+        if form != _FORMAT:
+            raise ValueError(f"unknown format {bytes(form)!r}")
+        result = cls()
+        result.index = index
+        result.configuration = configuration.Configuration.from_rows(
+            reader.table()
         )
-
-    def _finish(self, command: commands.FinishCall) -> commands.CallResult:
-        key = (command.team, command.route, command.key)
-        call = self.calls.get(key)
-        if call is None or call.claim_id != command.claim_id:
-            return commands.CallResult(code="unknown")
-        if command.state == "released":
-            if call.state == "running":
-                del self.calls[key]
-            return commands.CallResult(code="recorded")
-        call.state = command.state
-        call.status = command.status
-        call.headers = command.headers
-        call.body = command.body
-        return commands.CallResult(code="recorded")
-
-    def _decide(self, command: commands.DecideReplicas) -> commands.Accepted:
-        if not self._holds("scheduler", command.fencing):
-            return commands.Accepted(reason="old fencing number")
-        for change in command.changes:
-            if change.action == "settled":
-                self.decisions.pop(change.decision_id, None)
-            else:
-                self.decisions[change.decision_id] = change
-        return commands.Accepted(accepted=True)
-
-    def _checkpoint(
-        self, command: commands.CheckpointBudget
-    ) -> commands.Accepted:
-        if not self._holds(command.shard, command.fencing):
-            return commands.Accepted(reason="old fencing number")
-        self.budgets[command.team] = command
-        return commands.Accepted(accepted=True)
-
-    def _holds(self, lease_name: str, fencing: int) -> bool:
-        lease = self.leases.get(lease_name)
-        return lease is not None and lease.fencing == fencing
-
-
-def _object_id(document: dict[str, Any]) -> str:
-    return f"{document['kind']}/{document['name']}"
+        result.keys = keys.Keys.from_rows(reader.table())
+        result.lease_table = leases.Leases.from_rows(reader.table())
+        result.call_table = calls.Calls.from_rows(reader.table())
+        result.decision_table = decisions.Decisions.from_rows(reader.table())
+        result.budget_table = budgets.Budgets.from_rows(reader.table())
+        reader.finish()
+        return result
--- /dev/null
+++ b/src/monsoonhinge/control/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the replicated state, each with its commands and its snapshot."""
--- /dev/null
+++ b/src/monsoonhinge/control/state/calls.py
@@ -0,0 +1,247 @@
+"""Records of non-repeatable calls."""
+
+from collections.abc import Iterator
+import dataclasses
+from typing import Any
+
+from monsoonhinge.control.state import rows
+from monsoonhinge.protocol import commands
+
+DEFAULT_LIMIT_BYTES = 256 * 1024 * 1024
+
+# Memory of a record's Python objects beside the bytes of its fields.
+_RECORD_OVERHEAD_BYTES = 512
+
+Key = tuple[str, str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """Record of a call.
+
+    ``state`` is ``running``, ``finished``, ``answer_not_kept`` or ``unknown``.
+    """
+
+    digest: bytes
+    gateway: str
+    claim_id: str
+    claimed_ms: int
+    state: str = "running"
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+
+    @property
+    def answer_bytes(self) -> int:
+        """Size of the recorded answer."""
+        return len(self.headers) + len(self.body)
+
+
+class Calls:
+    """Call records within a limit of bytes.
+
+    Attributes:
+        records: Records by team, route and idempotency key.
+        limit_bytes: Memory for claims and answers together.
+        claim_bytes: Memory of all records without their answers.
+        answer_bytes: Memory of all answers.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[Key, Call] = {}
+        self.limit_bytes = DEFAULT_LIMIT_BYTES
+        self.claim_bytes = 0
+        self.answer_bytes = 0
+        # Keys of calls with an answer, oldest finished first.
+        self._answered: dict[Key, None] = {}
+        # Keys of running calls by gateway, each an ordered set.
+        self._running: dict[str, dict[Key, None]] = {}
+
+    def claim(self, command: commands.ClaimCall) -> commands.CallResult:
+        """Lets one claim win; others learn what became of the call."""
+        key = (command.team, command.route, command.key)
+        call = self.records.get(key)
+        if call is None:
+            return self._add(key, command)
+        if call.digest != command.digest:
+            return commands.CallResult(code="conflict")
+        if call.state == "running" and call.claim_id == command.claim_id:
+            return commands.CallResult(code="won")
+        return commands.CallResult(
+            code=call.state,
+            status=call.status,
+            headers=call.headers,
+            body=call.body,
+        )
+
+    def finish(self, command: commands.FinishCall) -> commands.CallResult:
+        """Records the outcome of a claimed call.
+
+        A late answer replaces ``unknown``; nothing replaces an answer.
+        """
+        key = (command.team, command.route, command.key)
+        call = self.records.get(key)
+        if call is None or call.claim_id != command.claim_id:
+            # The claim was released before, or its record is past retention.
+            code = "recorded" if command.state == "released" else "unknown"
+            return commands.CallResult(code=code)
+        if command.state == "released":
+            if call.state != "running":
+                return commands.CallResult(code=call.state)
+            self._remove(key)
+        elif command.state == "finished":
+            self._record_answer(key, call, command)
+        elif call.state == "running":
+            self._set_state(key, call, "unknown")
+        return commands.CallResult(code="recorded")
+
+    def abandon(self, gateway: str) -> None:
+        """Makes the running calls of a lost gateway unknown."""
+        for key in list(self._running.get(gateway, ())):
+            self._set_state(key, self.records[key], "unknown")
+
+    def drop(self, before_ms: int) -> None:
+        """Removes records claimed before a time.
+
+        Running calls stay: without the record another gateway could run the
+        call a second time.
+        """
+        old = [
+            key
+            for key, call in self.records.items()
+            if call.claimed_ms < before_ms and call.state != "running"
+        ]
+        for key in old:
+            self._remove(key)
+
+    def document(self) -> dict[str, Any]:
+        """Returns counts and sizes."""
+        return {
+            "records": len(self.records),
+            "running": sum(len(keys) for keys in self._running.values()),
+            "answers": len(self._answered),
+            "claim_bytes": self.claim_bytes,
+            "answer_bytes": self.answer_bytes,
+            "limit_bytes": self.limit_bytes,
+        }
+
+    def to_rows(self) -> Iterator[rows.Row]:
+        """Yields the rows of the snapshot."""
+        places = {key: place for place, key in enumerate(self._answered)}
+        yield [self.limit_bytes], b""
+        for key, call in self.records.items():
+            fields = [
+                *key,
+                call.digest.hex(),
+                call.gateway,
+                call.claim_id,
+                call.claimed_ms,
+                call.state,
+                call.status,
+                len(call.headers),
+                places.get(key, -1),
+            ]
+            yield fields, call.headers + call.body
+
+    @classmethod
+    def from_rows(cls, table: Iterator[rows.Row]) -> "Calls":
+        """Reads what ``to_rows`` yielded."""
+        result = cls()
+        (result.limit_bytes,), _ = next(table)
+        places: dict[int, Key] = {}
+        for fields, blob in table:
+            team, route, name, digest, gateway, claim_id, claimed_ms = fields[
+                :7
+            ]
+            state, status, header_bytes, place = fields[7:]
+            key = (team, route, name)
+            call = Call(
+                digest=bytes.fromhex(digest),
+                gateway=gateway,
+                claim_id=claim_id,
+                claimed_ms=claimed_ms,
+                state=state,
+                status=status,
+                headers=blob[:header_bytes],
+                body=blob[header_bytes:],
+            )
+            result.records[key] = call
+            result.claim_bytes += _claim_bytes(key, call)
+            result.answer_bytes += call.answer_bytes
+            if state == "running":
+                result._running.setdefault(gateway, {})[key] = None
+            if place >= 0:
+                places[place] = key
+        result._answered = {places[place]: None for place in sorted(places)}
+        return result
+
+    def _add(
+        self, key: Key, command: commands.ClaimCall
+    ) -> commands.CallResult:
+        if command.limit_bytes:
+            self.limit_bytes = command.limit_bytes
+        call = Call(
+            digest=command.digest,
+            gateway=command.gateway,
+            claim_id=command.claim_id,
+            claimed_ms=command.now_ms,
+        )
+        size = _claim_bytes(key, call)
+        if self.claim_bytes + size > self.limit_bytes:
+            # The limit may be lower than that of the claims before.
+            self._drop_answers()
+            return commands.CallResult(code="full")
+        self.records[key] = call
+        self.claim_bytes += size
+        self._running.setdefault(call.gateway, {})[key] = None
+        self._drop_answers()
+        return commands.CallResult(code="won")
+
+    def _record_answer(
+        self, key: Key, call: Call, command: commands.FinishCall
+    ) -> None:
+        if call.state not in ("running", "unknown"):
+            return
+        self._set_state(key, call, "finished")
+        call.status = command.status
+        call.headers = command.headers
+        call.body = command.body
+        self.answer_bytes += call.answer_bytes
+        self._answered[key] = None
+        self._drop_answers()
+
+    def _drop_answers(self) -> None:
+        while self._answered and (
+            self.claim_bytes + self.answer_bytes > self.limit_bytes
+        ):
+            key = next(iter(self._answered))
+            del self._answered[key]
+            call = self.records[key]
+            self.answer_bytes -= call.answer_bytes
+            call.state = "answer_not_kept"
+            call.status, call.headers, call.body = 0, b"", b""
+
+    def _set_state(self, key: Key, call: Call, state: str) -> None:
+        if call.state == "running":
+            running = self._running[call.gateway]
+            del running[key]
+            if not running:
+                del self._running[call.gateway]
+        call.state = state
+
+    def _remove(self, key: Key) -> None:
+        call = self.records.pop(key)
+        self._set_state(key, call, "removed")
+        self._answered.pop(key, None)
+        self.claim_bytes -= _claim_bytes(key, call)
+        self.answer_bytes -= call.answer_bytes
+
+
+def _claim_bytes(key: Key, call: Call) -> int:
+    return (
+        _RECORD_OVERHEAD_BYTES
+        + sum(len(part.encode()) for part in key)
+        + len(call.digest)
+        + len(call.gateway.encode())
+        + len(call.claim_id.encode())
+    )
--- /dev/null
+++ b/src/monsoonhinge/control/state/configuration.py
@@ -0,0 +1,179 @@
+"""Configuration in effect and the history of its publications."""
+
+from collections.abc import Iterator
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+from monsoonhinge.control.state import rows
+from monsoonhinge.protocol import commands
+
+# A resend is recognised while its version is in the history. 1,000 versions
+# are ten hours at 2,400 changes a day.
+HISTORY_VERSIONS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publication:
+    """Who made a configuration version, and out of what."""
+
+    digest: bytes
+    publisher: str
+
+
+class Configuration:
+    """Versions of the configuration.
+
+    Attributes:
+        version: Version in effect; 0 before the first.
+        objects: Canonical JSON objects by ``kind/name``, keys included. The
+            dictionary is replaced and never changed in place.
+        history: Latest publications by version, oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.objects: dict[str, bytes] = {}
+        self.history: dict[int, Publication] = {}
+
+    def publish(self, command: commands.PublishConfig) -> commands.ConfigResult:
+        """Replaces all objects but the keys.
+
+        The objects themselves are validated before the command is proposed;
+        the checks here are those that depend on the state or that keep a
+        partially sent set out.
+        """
+        if 0 < command.version <= self.version:
+            return self._resent(command)
+        if command.version != self.version + 1:
+            return self.conflict(
+                self.version, f"version {self.version} is in effect"
+            )
+        try:
+            objects = _by_id(command.objects)
+        except ValueError as error:
+            return self.invalid(str(error))
+        if digest(command.objects) != command.digest:
+            return self.invalid("the digest does not match the objects")
+        for object_id, data in self.objects.items():
+            if object_id.startswith("key/"):
+                team = f"team/{json.loads(data)['team']}"
+                if team not in objects:
+                    return self.invalid(
+                        f"{object_id}: team: {team} does not exist"
+                    )
+                objects[object_id] = data
+        return self.advance(objects, command.digest, command.publisher)
+
+    def advance(
+        self, objects: dict[str, bytes], digest: bytes, publisher: str
+    ) -> commands.ConfigResult:
+        """Puts the next version in effect."""
+        self.version += 1
+        self.objects = objects
+        self.history[self.version] = Publication(digest, publisher)
+        while len(self.history) > HISTORY_VERSIONS:
+            del self.history[next(iter(self.history))]
+        return self.accepted(self.version)
+
+    def accepted(self, version: int) -> commands.ConfigResult:
+        """Returns the result of a change that made ``version``."""
+        return self._result("accepted", version, "")
+
+    def conflict(self, version: int, message: str) -> commands.ConfigResult:
+        """Returns a conflict with the change that made ``version``."""
+        return self._result("conflict", version, message)
+
+    def invalid(self, message: str) -> commands.ConfigResult:
+        """Returns the refusal of a change that can never be accepted."""
+        return commands.ConfigResult(
+            code="invalid", message=message, version=self.version
+        )
+
+    def document(self) -> dict[str, Any]:
+        """Returns the configuration in effect."""
+        made = self.history.get(self.version, Publication(b"", ""))
+        return {
+            "version": self.version,
+            "publisher": made.publisher,
+            "digest": made.digest.hex(),
+            "objects": [json.loads(data) for data in self.objects.values()],
+        }
+
+    def to_rows(self) -> Iterator[rows.Row]:
+        """Yields the rows of the snapshot."""
+        yield [self.version, len(self.history)], b""
+        for version, made in self.history.items():
+            yield [version, made.publisher], made.digest
+        for object_id, data in self.objects.items():
+            yield [object_id], data
+
+    @classmethod
+    def from_rows(cls, table: Iterator[rows.Row]) -> "Configuration":
+        """Reads what ``to_rows`` yielded."""
+        result = cls()
+        (result.version, count), _ = next(table)
+        for _ in range(count):
+            (version, publisher), digest = next(table)
+            result.history[version] = Publication(digest, publisher)
+        for (object_id,), data in table:
+            result.objects[object_id] = data
+        return result
+
+    def _resent(self, command: commands.PublishConfig) -> commands.ConfigResult:
+        made = self.history.get(command.version)
+        if made is None:
+            return self.conflict(
+                command.version,
+                f"version {command.version} is older than the history; "
+                f"version {self.version} is in effect",
+            )
+        if made.digest == command.digest:
+            return self.accepted(command.version)
+        return self.conflict(
+            command.version,
+            f"version {command.version} was published by {made.publisher} "
+            f"with digest {made.digest.hex()[:16]}",
+        )
+
+    def _result(
+        self, code: str, version: int, message: str
+    ) -> commands.ConfigResult:
+        made = self.history.get(version, Publication(b"", ""))
+        return commands.ConfigResult(
+            code=code,
+            message=message,
+            version=version,
+            publisher=made.publisher,
+            digest=made.digest,
+        )
+
+
+def digest(objects: list[bytes]) -> bytes:
+    """Returns the SHA-256 over canonical objects, in any order."""
+    total = hashlib.sha256()
+    for data in sorted(objects):
+        total.update(len(data).to_bytes(8, "big"))
+        total.update(data)
+    return total.digest()
+
+
+def _by_id(objects: list[bytes]) -> dict[str, bytes]:
+    result: dict[str, bytes] = {}
+    for data in objects:
+        document = json.loads(data)
+        if not isinstance(document, dict):
+            raise ValueError("an object is not a JSON object")
+        kind, name = document.get("kind"), document.get("name")
+        if not isinstance(kind, str) or not isinstance(name, str):
+            raise ValueError("an object has no kind or no name")
+        object_id = f"{kind}/{name}"
+        if kind == "key":
+            raise ValueError(
+                f"{object_id}: keys are changed by key grant and key withdraw"
+            )
+        if object_id in result:
+            raise ValueError(f"{object_id}: name: is defined twice")
+        result[object_id] = data
+    return result
--- /dev/null
+++ b/src/monsoonhinge/control/state/decisions.py
@@ -0,0 +1,134 @@
+"""Decided replicas."""
+
+from collections.abc import Iterator
+import dataclasses
+from typing import Any
+
+from monsoonhinge.control.state import rows
+from monsoonhinge.protocol import commands
+
+# A settled id is remembered while the same scheduler leads, since a command
+# that it resent may be committed again after the settlement. Over a lease of
+# hours the number is bounded by dropping the oldest.
+MAX_SETTLED = 100_000
+
+_ACTIONS = ("load", "unload", "load_adapter", "unload_adapter", "settled")
+
+
+class Decisions:
+    """Decided replicas and adapter changes in progress.
+
+    Attributes:
+        decided: Latest change by decision id; ``id/adapter`` for a change of
+            an adapter of the replica.
+        settled: Ids of replicas that are gone, oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.decided: dict[str, commands.ReplicaChange] = {}
+        self.settled: dict[str, None] = {}
+        self._fencing = 0
+        # Adapters with a change in progress by decision id.
+        self._adapters: dict[str, dict[str, None]] = {}
+
+    def decide(self, command: commands.DecideReplicas) -> commands.Accepted:
+        """Applies all changes, or none if one of them contradicts the state.
+
+        The caller has checked the fencing number.
+        """
+        if command.fencing != self._fencing:
+            self._fencing = command.fencing
+            self.settled.clear()
+        problems = [
+            f"{change.decision_id}: {problem}"
+            for change in command.changes
+            if (problem := self._problem(change))
+        ]
+        if problems:
+            return commands.Accepted(reason="; ".join(problems))
+        for change in command.changes:
+            self._apply(change)
+        return commands.Accepted(accepted=True)
+
+    def document(self) -> dict[str, Any]:
+        """Returns the decisions by id."""
+        return {
+            name: dataclasses.asdict(change)
+            for name, change in self.decided.items()
+        }
+
+    def to_rows(self) -> Iterator[rows.Row]:
+        """Yields the rows of the snapshot."""
+        yield [self._fencing, len(self.settled)], b""
+        for decision_id in self.settled:
+            yield [decision_id], b""
+        for name, change in self.decided.items():
+            yield [name, dataclasses.asdict(change)], b""
+
+    @classmethod
+    def from_rows(cls, table: Iterator[rows.Row]) -> "Decisions":
+        """Reads what ``to_rows`` yielded."""
+        result = cls()
+        (result._fencing, count), _ = next(table)
+        for _ in range(count):
+            (decision_id,), _ = next(table)
+            result.settled[decision_id] = None
+        for (name, fields), _ in table:
+            result._store(name, commands.ReplicaChange(**fields))
+        return result
+
+    def _problem(self, change: commands.ReplicaChange) -> str:
+        if change.action not in _ACTIONS:
+            return f"unknown action {change.action!r}"
+        if not change.decision_id or "/" in change.decision_id:
+            return "an id must not be empty or contain a slash"
+        known = self.decided.get(change.decision_id)
+        if (
+            known is not None
+            and change.action in ("load", "unload")
+            and (known.target, known.model) != (change.target, change.model)
+        ):
+            return "the id belongs to another replica"
+        return ""
+
+    def _apply(self, change: commands.ReplicaChange) -> None:
+        decision_id = change.decision_id
+        if change.action == "settled":
+            self._settle(change)
+        elif decision_id in self.settled:
+            pass
+        elif change.action in ("load_adapter", "unload_adapter"):
+            self._store(f"{decision_id}/{change.adapter}", change)
+        elif decision_id not in self.decided:
+            self._store(decision_id, change)
+        elif change.action == "unload":
+            # The memory stays reserved until the replica is reported gone.
+            known = self.decided[decision_id]
+            self.decided[decision_id] = dataclasses.replace(
+                known, action="unload"
+            )
+
+    def _store(self, name: str, change: commands.ReplicaChange) -> None:
+        self.decided[name] = change
+        if name != change.decision_id:
+            adapters = self._adapters.setdefault(change.decision_id, {})
+            adapters[change.adapter] = None
+
+    def _settle(self, change: commands.ReplicaChange) -> None:
+        decision_id = change.decision_id
+        if change.adapter:
+            self._settle_adapter(decision_id, change.adapter)
+            return
+        for adapter in self._adapters.pop(decision_id, ()):
+            del self.decided[f"{decision_id}/{adapter}"]
+        self.decided.pop(decision_id, None)
+        self.settled[decision_id] = None
+        while len(self.settled) > MAX_SETTLED:
+            del self.settled[next(iter(self.settled))]
+
+    def _settle_adapter(self, decision_id: str, adapter: str) -> None:
+        self.decided.pop(f"{decision_id}/{adapter}", None)
+        adapters = self._adapters.get(decision_id, {})
+        adapters.pop(adapter, None)
+        if not adapters:
+            self._adapters.pop(decision_id, None)
--- a/src/monsoonhinge/protocol/commands.py
+++ b/src/monsoonhinge/protocol/commands.py
@@ -37,10 +37,15 @@
 
 @dataclasses.dataclass(slots=True)
 class WithdrawKey:
-    """Removes a key for good."""
+    """Removes a key for good.
+
+    With ``hash`` only the key of that hash is removed, so that a resend never
+    removes a later key of the same name.
+    """
 
     name: str = ""
     publisher: str = ""
+    hash: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,6 +85,9 @@
         gateway: Node and incarnation of the claiming gateway.
         claim_id: Unique id of this claim.
         now_ms: Wall-clock time of the leader, for retention.
+        limit_bytes: Memory for all records, from the leader's settings; 0 for
+            the limit used so far. It is part of the command because members
+            with different settings would otherwise decide differently.
     """
 
     team: str = ""
@@ -89,6 +97,7 @@
     gateway: str = ""
     claim_id: str = ""
     now_ms: int = 0
+    limit_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +165,7 @@
 class CheckpointBudget:
     """Upper bound of the tokens granted to a team so far.
 
+    ``shard`` is the name of the lease, such as ``budget/0``.
     ``granted`` counts tokens since the team was created and only grows.
     ``level`` is the tokens in the bucket after all of ``granted`` is spent,
     as of ``now_ms`` on the wall clock of the leader.
@@ -215,7 +225,8 @@
 class CallResult:
     """Result of a claim or of a finish.
 
-    ``code`` is ``won``, ``running``, ``finished``, ``unknown``, ``conflict``
+    ``code`` is ``won``, ``running``, ``finished``, ``answer_not_kept`` (it
+    finished, but the answer was dropped for space), ``unknown``, ``conflict``
     (another body under the same key), ``full`` (no room for records) or
     ``recorded``. A finished call carries its recorded answer.
     """
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -219,7 +219,8 @@
 class CallRecord:
     """State of a non-repeatable call.
 
-    ``state`` is ``absent``, ``running``, ``finished`` or ``unknown``.
+    ``state`` is ``absent``, ``running``, ``finished``, ``answer_not_kept`` or
+    ``unknown``.
     ``headers`` is a JSON list of name and value pairs.
     """
 
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -320,6 +320,7 @@
 struct WithdrawKey {
   name @0 :Text;
   publisher @1 :Text;
+  hash @2 :Text;
 }
 
 struct AcquireLease {
@@ -346,6 +347,7 @@
   gateway @4 :Text;
   claimId @5 :Text;
   nowMs @6 :Int64;
+  limitBytes @7 :UInt64;
 }
 
 struct FinishCall {
