Add the decision core of the scheduler

Cause: the first scheduler placed one replica per model, kept no adapter, order or budget state and never unloaded.

The core takes events and the time and returns changes: ledger, placement, weight store, keep-alive, orders, token buckets and verdicts, joined by a planner (one step) and a coordinator (one lease). Decisions are committed before their orders; memory is reserved from the decision until the target itself reports the outcome.

Ruled out: settling a replica because a single announcement lacks it (the order may still arrive); settling on a refusal after more than one transmission; settling the decisions of an older incarnation at once (an order may reach the restarted target); a load bucket that starts full after a failover.

--- /dev/null
+++ b/src/monsoonhinge/scheduler/demand.py
@@ -0,0 +1,102 @@
+"""Requests waiting and running at all gateways."""
+
+import dataclasses
+import math
+
+from monsoonhinge.protocol import messages
+
+# Demand of a gateway that stays silent is forgotten after this time.
+EXPIRY_S = 3.0
+
+Key = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Need:
+    """Requests for one model and adapter over all gateways.
+
+    Attributes:
+        waiting: Requests waiting at gateways.
+        running: Requests running at targets.
+        deadline: Earliest deadline of a waiting request, in seconds.
+        team: Team of the request with that deadline, or of any request.
+    """
+
+    waiting: int = 0
+    running: int = 0
+    deadline: float = math.inf
+    team: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class _Item:
+    waiting: int
+    running: int
+    deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Gateway:
+    heard_at: float = 0.0
+    items: dict[tuple[str, str, str], _Item] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class DemandBook:
+    """Latest demand of each gateway."""
+
+    def __init__(self) -> None:
+        self._gateways: dict[str, _Gateway] = {}
+
+    def update(self, message: messages.Demand, now: float) -> None:
+        """Takes a report; the deadlines in it are relative to now."""
+        gateway = self._gateways.setdefault(message.gateway, _Gateway())
+        gateway.heard_at = now
+        if message.full:
+            gateway.items = {}
+        for item in message.items:
+            key = (item.model, item.adapter, item.team)
+            if not item.waiting and not item.running:
+                gateway.items.pop(key, None)
+                continue
+            deadline = (
+                now + item.earliest_deadline_ms / 1000
+                if item.waiting
+                else math.inf
+            )
+            gateway.items[key] = _Item(item.waiting, item.running, deadline)
+
+    def forget(self, gateway: str) -> None:
+        """Drops the demand of a gateway that is gone."""
+        self._gateways.pop(gateway, None)
+
+    def expire(self, now: float) -> None:
+        """Drops the demand of gateways that stay silent."""
+        for name, gateway in list(self._gateways.items()):
+            if now - gateway.heard_at > EXPIRY_S:
+                del self._gateways[name]
+
+    def needs(self) -> dict[Key, Need]:
+        """Returns the demand per model and adapter over all gateways."""
+        result: dict[Key, Need] = {}
+        for gateway in self._gateways.values():
+            for (model, adapter, team), item in gateway.items.items():
+                need = result.setdefault((model, adapter), Need(team=team))
+                need.waiting += item.waiting
+                need.running += item.running
+                if item.deadline < need.deadline:
+                    need.deadline = item.deadline
+                    need.team = team
+        return result
+
+    def waiting_at(self, gateway: str) -> set[Key]:
+        """Returns models and adapters with requests waiting at a gateway."""
+        known = self._gateways.get(gateway)
+        if known is None:
+            return set()
+        return {
+            (model, adapter)
+            for (model, adapter, _), item in known.items.items()
+            if item.waiting
+        }
--- /dev/null
+++ b/tests/scheduler/test_scheduler_decisions.py
@@ -0,0 +1,351 @@
+"""Tests of decisions and orders under crashes, loss and failover."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import scheduler_world as world
+
+from monsoonhinge.scheduler import ledger as replica_ledger
+
+_TARGETS = st.integers(0, 2)
+_MODELS = st.sampled_from(["m0", "m1", "m2", "m3"])
+_RATE = 2.0
+_CONCURRENT = 2
+
+
+class Interleavings(stateful.RuleBasedStateMachine):
+    """Any order of faults keeps replicas decided and memory reserved."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        view = world.make_view(loads_per_s=_RATE, concurrent_loads=_CONCURRENT)
+        self.world = world.World(
+            view,
+            [
+                world.Target(
+                    f"t{number}",
+                    memory=7 * world.GB,
+                    checks_fencing=number != 1,
+                )
+                for number in range(3)
+            ],
+        )
+        self.world.fail_over()
+        for target in self.world.targets.values():
+            self.world.announce(target)
+        self.world.receive_announcements()
+
+    def _target(self, number: int) -> world.Target:
+        return self.world.targets[f"t{number}"]
+
+    @stateful.rule(
+        model=_MODELS,
+        waiting=st.integers(0, 5),
+        adapter=st.sampled_from(["", "a0", "a1", "a2"]),
+    )
+    def ask(self, model: str, waiting: int, adapter: str) -> None:
+        self.world.ask(model, waiting, adapter if model == "m0" else "")
+
+    @stateful.rule(crash=st.booleans())
+    def plan(self, crash: bool) -> None:
+        if crash:
+            self.world.plan(crash_before_order=True)
+            self.world.fail_over()
+        else:
+            self.world.plan()
+
+    @stateful.rule(former=st.booleans())
+    def send(self, former: bool) -> None:
+        self.world.send(
+            self.world.holders[-2 if former else -1]
+            if len(self.world.holders) > 1
+            else self.world.active
+        )
+
+    @stateful.rule(
+        number=st.integers(0, 7),
+        lost=st.booleans(),
+        answered=st.booleans(),
+        again=st.booleans(),
+    )
+    def deliver(
+        self, number: int, lost: bool, answered: bool, again: bool
+    ) -> None:
+        self.world.deliver(number, lost=lost, answered=answered, again=again)
+
+    @stateful.rule(number=_TARGETS, failed=st.booleans())
+    def end_load(self, number: int, failed: bool) -> None:
+        self._target(number).end_load(failed=failed)
+
+    @stateful.rule(number=_TARGETS, delay=st.sampled_from([0.0, 0.0, 0.7, 2.5]))
+    def announce(self, number: int, delay: float) -> None:
+        self.world.announce(self._target(number), delay=delay)
+        self.world.receive_announcements()
+
+    @stateful.rule(number=_TARGETS)
+    def die(self, number: int) -> None:
+        target = self._target(number)
+        target.alive = False
+        target.replicas = {}
+
+    @stateful.rule(number=_TARGETS)
+    def restart(self, number: int) -> None:
+        self._target(number).restart()
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 1.1, 3.5]))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+        self.world.receive_announcements()
+
+    @stateful.rule()
+    def renew(self) -> None:
+        if self.world.now < self.world.active.lease_until:
+            self.world.renew()
+        else:
+            self.world.fail_over()
+
+    @stateful.rule()
+    def work(self) -> None:
+        """Steps without faults, so that loads and displacements happen."""
+        if self.world.now >= self.world.active.lease_until:
+            self.world.fail_over()
+        self.world.settle(steps=4)
+
+    @stateful.invariant()
+    def promises_hold(self) -> None:
+        self.world.check()
+
+    @stateful.invariant()
+    def store_limits_hold(self) -> None:
+        started = self.world.started
+        for first, begin in enumerate(started):
+            for last in range(first, len(started)):
+                span = started[last] - begin
+                assert last - first + 1 <= 1 + _RATE * span + 1e-6
+        loading = [
+            replica
+            for replica in self.world.active.core.planner.ledger.loading()
+            if not replica.expired
+        ]
+        assert len(loading) <= _CONCURRENT
+
+
+TestInterleavings = Interleavings.TestCase
+TestInterleavings.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
+
+
+def _ready_world(targets: int = 1, **view: float) -> world.World:
+    result = world.World(
+        world.make_view(**view),
+        [
+            world.Target(f"t{number}", memory=7 * world.GB, checks_fencing=True)
+            for number in range(targets)
+        ],
+    )
+    result.fail_over()
+    result.settle(1)
+    return result
+
+
+def _quiet(case: world.World, seconds: float) -> None:
+    """Lets time pass while targets announce themselves and load nothing."""
+    case.advance(seconds)
+    case.renew()
+    for target in case.targets.values():
+        case.announce(target)
+    case.receive_announcements()
+
+
+def _ordered(case: world.World) -> None:
+    """Decides a load of m0 and sends its order."""
+    case.ask("m0", 1)
+    _quiet(case, 0.3)
+    case.plan()
+    case.send(case.active)
+    assert len(case.network) == 1
+
+
+def test_one_load_for_many_requests() -> None:
+    """Guards against one load per asking gateway."""
+    case = _ready_world(targets=3)
+    for _ in range(4):
+        case.ask("m0", 4)
+        _quiet(case, 0.3)
+        case.plan()
+    assert len(case.log.decisions) == 1
+
+
+def test_unknown_load_is_repeated_under_its_id() -> None:
+    """Guards against a second replica after a lost answer."""
+    case = _ready_world()
+    case.ask("m0", 1)
+    case.plan()
+    case.send(case.active)
+    case.deliver(0, answered=False)
+    case.settle(8)
+    assert len(case.targets["t0"].replicas) == 1
+
+
+def test_target_that_ignores_fencing_is_waited_out() -> None:
+    """Guards against an order that overtakes one of the old scheduler."""
+    case = world.World(
+        world.make_view(),
+        [world.Target("t0", memory=7 * world.GB, checks_fencing=False)],
+    )
+    case.fail_over()
+    begin = case.now
+    case.announce(case.targets["t0"])
+    case.receive_announcements()
+    while not case.network:
+        case.ask("m0", 1)
+        case.plan()
+        case.send(case.active)
+        assert case.now - begin < 10
+        case.advance(0.1)
+        case.renew()
+        case.announce(case.targets["t0"])
+        case.receive_announcements()
+    assert case.network[0].sent_at >= begin + world.ORDER_TIMEOUT_S
+
+
+def test_surplus_replica_is_unloaded() -> None:
+    """Guards against a replica without a decision that stays for ever."""
+    case = _ready_world()
+    case.targets["t0"].replicas["old"] = world.messages.ReplicaState(
+        model="m0", version="1", state="loaded", order_id="old"
+    )
+    case.settle(4)
+    assert not case.targets["t0"].replicas
+
+
+def test_models_do_not_displace_each_other_in_turn() -> None:
+    """Guards against two models that evict each other on every call."""
+    case = _ready_world(min_keep_s=8.0)
+    for step in range(240):
+        case.ask("m1", step % 2)
+        case.ask("m3", 1 - step % 2)
+        case.settle(1)
+    assert 2 <= len(case.unloaded) <= 240 * 0.25 / 8 + 1
+
+
+def test_scale_out_stops_at_max_replicas() -> None:
+    """Guards against unbounded replicas of a saturated model."""
+    case = _ready_world(targets=3)
+    for _ in range(10):
+        case.ask("m0", 50)
+        for target in case.targets.values():
+            for replica in target.replicas.values():
+                replica.running = 2
+        case.settle(2)
+    assert len(case.log.decisions) == 2
+
+
+def test_ledger_keeps_memory_until_the_target_reports() -> None:
+    """Guards against memory that is freed on an order's word alone."""
+    case = _ready_world()
+    case.ask("m1", 1)
+    case.settle(10)
+    case.ask("m1", 0)
+    ledger = case.active.core.planner.ledger
+    replica = next(iter(ledger.replicas.values()))
+    ledger.apply(
+        world.dataclasses.replace(replica.change, action="unload"), case.now
+    )
+    assert ledger.reserved("t0") == replica.change.reserved_bytes
+    copy = replica_ledger.Ledger.from_decisions(
+        [replica.change], footprint=lambda *_: 0, now=case.now
+    )
+    assert copy.reserved("t0") == replica.change.reserved_bytes
+
+
+def test_late_load_is_still_decided() -> None:
+    """Guards against a settlement while the order is on its way."""
+    case = _ready_world()
+    _ordered(case)
+    _quiet(case, 1.0)
+    case.ask("m0", 0)
+    case.plan()
+    case.deliver(0)
+    case.check()
+
+
+def test_refusal_of_a_repeated_order_settles_nothing() -> None:
+    """Guards against a first transmission that arrives after the refusal."""
+    case = _ready_world()
+    _ordered(case)
+    first = case.network.pop()
+    case.active.core.orders.unknown(first.order.order_id, case.now)
+    _quiet(case, 0.6)
+    case.send(case.active)
+    case.active.core.refused(first.order.order_id, case.now)
+    case.plan()
+    case.targets["t0"].receive(first.order)
+    case.check()
+
+
+def test_order_that_meets_a_restarted_target_is_decided() -> None:
+    """Guards against a load by the incarnation after the one ordered."""
+    case = _ready_world()
+    _ordered(case)
+    case.targets["t0"].restart()
+    _quiet(case, 0.3)
+    case.plan()
+    case.deliver(0)
+    case.check()
+    case.settle(16)
+    case.check()
+    assert len(case.targets["t0"].replicas) == 1
+
+
+def test_no_order_leaves_at_the_end_of_the_lease() -> None:
+    """Guards against an order that outlives the lease of its sender."""
+    case = _ready_world()
+    case.ask("m0", 1)
+    _quiet(case, 0.3)
+    case.plan()
+    case.active.lease_until = case.now + world.ORDER_TIMEOUT_S - 0.1
+    case.send(case.active)
+    assert not case.network
+
+
+def test_load_rate_holds_across_failover() -> None:
+    """Guards against a new scheduler that starts with a full bucket."""
+    case = _ready_world(2, loads_per_s=0.1)
+    _quiet(case, 20.0)
+    case.ask("m0", 1)
+    case.plan()
+    case.fail_over()
+    _quiet(case, 0.1)
+    case.ask("m1", 1)
+    case.plan()
+    assert len(case.started) == 1
+
+
+def test_concurrent_loads_hold_across_failover() -> None:
+    """Guards against loads in progress that a new scheduler forgets."""
+    case = _ready_world(2, loads_per_s=100.0, concurrent_loads=1)
+    _ordered(case)
+    case.deliver(0)
+    for _ in range(2):
+        case.ask("m1", 1)
+        _quiet(case, 0.3)
+        case.plan()
+        assert len(case.started) == 1
+        _quiet(case, 2.0)
+        case.fail_over()
+    case.settle(4)
+    assert len(case.started) == 2
+
+
+def test_adapters_stay_within_their_memory() -> None:
+    """Guards against adapters loaded into memory that is taken."""
+    case = _ready_world()
+    for _ in range(8):
+        for adapter in ("a0", "a1", "a2"):
+            case.ask("m0", 1, adapter)
+        case.settle(1)
+        case.check()
+    replica = next(iter(case.targets["t0"].replicas.values()))
+    assert len(replica.adapters) == 2
--- /dev/null
+++ b/tests/scheduler/test_scheduler_policy.py
@@ -0,0 +1,127 @@
+"""Tests of the weight store, the keep-alive policy and the verdicts."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+import scheduler_world as world
+
+from monsoonhinge.config import schema
+from monsoonhinge.protocol import messages
+from monsoonhinge.scheduler import demand
+from monsoonhinge.scheduler import directory
+from monsoonhinge.scheduler import keepalive
+from monsoonhinge.scheduler import verdicts
+from monsoonhinge.scheduler import weightstore
+
+_LIMITS = schema.Store(name="s", loads_per_s=4, concurrent_loads=2)
+
+
+def _wanted(team: str, deadline: float) -> weightstore.Wanted:
+    return weightstore.Wanted(f"{team}{deadline}", "", team, deadline, 1.0)
+
+
+def _keep(gaps_s: list[float], **policy: float) -> keepalive.Plan:
+    keep = keepalive.KeepAlive(schema.Policy(name="p", **policy))
+    now = 0.0
+    for gap_s in gaps_s * 10:
+        keep.update({"m"}, now)
+        keep.update(set(), now)
+        now += gap_s
+    return keep.plan("m", load_s=2.0, pressure=0.0)
+
+
+def test_burst_of_one_team_does_not_push_others_out() -> None:
+    """Guards against a team whose early deadlines take every slot."""
+    store = weightstore.WeightStore(_LIMITS, now=0.0)
+    burst = [_wanted("big", deadline) for deadline in range(20)]
+    teams = [item.team for item in store.order([*burst, _wanted("low", 99)])]
+    assert teams.index("low") <= 4
+
+
+def test_earliest_deadline_goes_first_within_the_share() -> None:
+    """Guards against an order by arrival."""
+    store = weightstore.WeightStore(_LIMITS, now=0.0)
+    items = [_wanted("a", 9), _wanted("b", 3), _wanted("a", 1)]
+    assert [i.deadline for i in store.order(items)] == [1, 3, 9]
+
+
+@hypothesis.given(st.lists(st.floats(0, 2), max_size=30))
+def test_store_rate_holds(waits: list[float]) -> None:
+    """Guards against bursts beyond the load rate."""
+    store = weightstore.WeightStore(_LIMITS, now=0.0)
+    now = 0.0
+    started = []
+    for wait in waits:
+        now += wait
+        while store.may_load(now):
+            store.start(f"{len(started)}", nominal_s=1, tier="remote", now=now)
+            started.append(now)
+            assert len(store.in_flight) <= 2
+        for load_id in list(store.in_flight)[:1]:
+            store.finish(load_id, loaded=True, now=now)
+    assert len(started) <= 1 + 4 * now
+
+
+def test_stalled_store_is_noticed_before_a_load_ends() -> None:
+    """Guards against verdicts that promise the usual time."""
+    store = weightstore.WeightStore(_LIMITS, now=0.0)
+    store.start("a", nominal_s=1.0, tier="remote", now=0.0)
+    assert store.load_s(2.0, "remote", 10.0) == pytest.approx(20.0)
+    store.finish("a", loaded=True, now=10.0)
+    assert store.load_s(2.0, "remote", 10.0) > 4.0
+
+
+def test_idle_weight_shortens_the_stay() -> None:
+    """Guards against a policy that ignores the operator's weights."""
+    cheap = _keep([3, 40], cold_start_weight=100, idle_weight=1)
+    dear = _keep([3, 40], cold_start_weight=1, idle_weight=100)
+    assert cheap.keep_s >= 40 > dear.keep_s
+
+
+def test_predictable_gaps_are_warmed_ahead() -> None:
+    """Guards against a cold start at the same time every hour."""
+    plan = _keep([600, 600], cold_start_weight=200, idle_weight=1)
+    assert plan.keep_s < 60
+    assert 480 < plan.warm_from_s < 600 < plan.warm_until_s
+
+
+def test_silent_gateway_is_forgotten() -> None:
+    """Guards against loads for requests of a dead gateway."""
+    book = demand.DemandBook()
+    item = messages.DemandItem(model="m", team="a", waiting=2)
+    book.update(messages.Demand(gateway="g", items=[item]), 0.0)
+    book.expire(2.9)
+    assert book.needs()["m", ""].waiting == 2
+    book.expire(3.1)
+    assert not book.needs()
+
+
+def test_verdicts_tell_ready_time_and_impossible_loads() -> None:
+    """Guards against requests that wait for a load that cannot be done."""
+    case = world.World(
+        world.make_view(),
+        [world.Target("t0", memory=4 * world.GB, checks_fencing=True)],
+    )
+    case.fail_over()
+    case.announce(case.targets["t0"])
+    case.receive_announcements()
+    for name in ("m0", "m2", "none"):
+        case.ask(name, 1)
+    case.plan()
+    found = verdicts.message(
+        case.active.core.expectations, case.book.waiting_at("g"), case.now
+    )
+    by_model = {item.model: item for item in found.items}
+    assert by_model["m2"].refused and by_model["none"].refused
+    assert not by_model["m0"].refused
+    assert 900 <= by_model["m0"].ready_in_ms <= 1500
+
+
+def test_stale_announcement_changes_nothing() -> None:
+    """Guards against a late announcement that hides a newer one."""
+    known = directory.Directory()
+    new = messages.TargetState(target="t", incarnation=2, sequence=1)
+    old = messages.TargetState(target="t", incarnation=1, sequence=9)
+    assert known.update(new, 0.0)
+    assert not known.update(old, 0.1)
+    assert known.entries["t"].state is new
