--- /dev/null
+++ b/tests/gateway/test_retry.py
@@ -0,0 +1,104 @@
+"""Retry budget, backoff and ejection."""
+
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from monsoonhinge.gateway import retry
+
+
+@hypothesis.given(steps=st.lists(st.booleans(), max_size=300))
+def test_retries_stay_within_budget(steps: list[bool]) -> None:
+    """Guards against retries that multiply the load of a failing fleet."""
+    budget = retry.Budget()
+    requests = retries = 0
+    for is_request in steps:
+        if is_request:
+            requests += 1
+            budget.request()
+        else:
+            retries += budget.take()
+        assert retries <= 1 + retry.BUDGET_RATIO * requests + 1e-6
+
+
+def test_budget_grows_with_requests() -> None:
+    """Guards against a budget that never permits a retry."""
+    budget = retry.Budget()
+    assert budget.take()
+    assert not budget.take()
+    for _ in range(10):
+        budget.request()
+    assert budget.take()
+
+
+@pytest.mark.parametrize(
+    "case", list(itertools.product([True, False], repeat=4))
+)
+def test_what_may_be_retried(case: tuple[bool, bool, bool, bool]) -> None:
+    """Guards against running a refund twice or answering a caller twice."""
+    repeatable, sent, refused, started = case
+    allowed = retry.allowed(
+        retry.Failure(
+            repeatable=repeatable,
+            sent=sent,
+            refused=refused,
+            answer_started=started,
+        )
+    )
+    if started or (sent and not repeatable):
+        assert not allowed
+    else:
+        assert allowed
+
+
+@hypothesis.given(attempt=st.integers(0, 10_000), seed=st.integers())
+def test_backoff_is_jittered_and_bounded(attempt: int, seed: int) -> None:
+    """Guards against synchronised retries and endless pauses."""
+    pause = retry.backoff_s(attempt, random.Random(seed))
+    assert 0 <= pause <= 1.0
+
+
+@hypothesis.given(
+    steps=st.lists(
+        st.tuples(st.integers(0, 6), st.booleans(), st.floats(0, 5)),
+        max_size=60,
+    ),
+    count=st.integers(0, 7),
+)
+def test_at_most_half_is_ejected(
+    steps: list[tuple[int, bool, float]], count: int
+) -> None:
+    """Guards against ejecting every target when all fail at once."""
+    ejections = retry.Ejections()
+    names = [str(number) for number in range(count)]
+    now = 0.0
+    for number, failed, pause in steps:
+        now += pause
+        if failed:
+            ejections.failed(str(number), now)
+        else:
+            ejections.succeeded(str(number), now)
+        excluded = ejections.excluded(names, now)
+        assert len(excluded) <= count // 2
+        assert excluded <= set(names)
+
+
+def test_ejection_grows_and_ends() -> None:
+    """Guards against a target that is never tried again."""
+    ejections = retry.Ejections()
+    now = 0.0
+    lengths: list[float] = []
+    for _ in range(8):
+        ejections.failed("a", now)
+        ejections.failed("a", now)
+        length = ejections.until()["a"] - now
+        assert ejections.excluded(["a", "b"], now) == {"a"}
+        now += length
+        assert not ejections.excluded(["a", "b"], now)
+        lengths.append(length)
+    assert lengths == [1, 2, 4, 8, 16, 30, 30, 30]
+    ejections.succeeded("a", now)
+    assert not ejections.until()
--- /dev/null
+++ b/tests/gateway/test_wallet.py
@@ -0,0 +1,102 @@
+"""Token grants held by a gateway."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from monsoonhinge.gateway import wallet
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["grant", "charge", "charge", "settle", "over", "ask", "time"]
+        ),
+        st.integers(0, 100),
+    ),
+    max_size=100,
+)
+
+
+@hypothesis.given(steps=_STEPS)
+def test_spent_tokens_never_exceed_grants(
+    steps: list[tuple[str, int]],
+) -> None:
+    """Guards against tokens that come from nowhere (P7)."""
+    account = wallet.Account()
+    charges: list[wallet.Charge] = []
+    now, granted, given_back, used_total = 0.0, 0, 0, 0
+    for number, (action, amount) in enumerate(steps):
+        if action == "grant":
+            granted += amount
+            account.add(number + 1, amount, now + 2.0)
+            account.add(number + 1, amount, now + 2.0)
+        elif action == "charge":
+            charge = account.charge("bars", amount, now)
+            if charge is not None:
+                assert sum(charge.parts.values()) == amount
+                charges.append(charge)
+        elif action in ("settle", "over") and charges:
+            charge = charges.pop(0)
+            used = min(amount, charge.tokens)
+            if action == "over":
+                used = charge.tokens + amount
+            account.settle(charge, used, now)
+            account.settle(charge, used, now)
+            used_total += used
+        elif action == "ask":
+            ask = account.ask(amount, now)
+            if ask is not None:
+                given_back += ask.returned
+                account.replied(0.0, now)
+        else:
+            now += amount / 50
+        assert account.spent + max(0, account.balance(now)) <= granted
+        assert account.spent + account.returned <= granted
+        assert given_back <= account.returned
+        charged = sum(charge.tokens for charge in charges)
+        assert account.spent + account.debt == charged + used_total
+        # Nothing is lost either: each token is held, spent or returned.
+        held = account.balance(now) + account.debt
+        assert held + account.spent + account.returned == granted
+
+
+def test_grants_expire_and_go_back() -> None:
+    """Guards against charges on a grant that the holder counts as ended."""
+    account = wallet.Account()
+    account.add(7, 100, 2.0)
+    assert account.charge("bars", 40, 1.0) is not None
+    assert account.charge("bars", 10, 1.9) is None
+    ask = account.ask(0, 1.9)
+    assert ask is not None
+    assert (ask.returned_grant, ask.returned) == (7, 60)
+
+
+def test_usage_beyond_the_charge_is_paid_later() -> None:
+    """Guards against free tokens when the prompt estimate was too low."""
+    account = wallet.Account()
+    account.add(1, 100, 9.0)
+    charge = account.charge("bars", 100, 0.0)
+    assert charge is not None
+    account.settle(charge, 130, 0.0)
+    account.add(2, 50, 9.0)
+    assert account.balance(0.0) == 20
+
+
+def test_asks_once_and_pauses_without_holder() -> None:
+    """Guards against a flood of requests to a scheduler that is silent."""
+    account = wallet.Account()
+    ask = account.ask(50, 0.0)
+    assert ask is not None and ask.wanted == 50
+    assert account.ask(50, 0.0) is None
+    account.unanswered(0.0, pause_s=0.5)
+    assert account.ask(50, 0.4) is None
+    assert account.ask(50, 0.5) is not None
+
+
+def test_asks_ahead_of_demand() -> None:
+    """Guards against a pause at each grant under steady load."""
+    account = wallet.Account()
+    account.add(1, 1000, 9.0)
+    for step in range(10):
+        assert account.charge("bars", 90, step * 0.1) is not None
+    ask = account.ask(0, 0.9)
+    assert ask is not None and ask.wanted > 200
