Scale own changes by this gateway's share when routing

Cause: between two reports every gateway sent its requests to the same two targets, since each corrected the report by its own requests only.

--- a/src/monsoonhinge/gateway/routing.py
+++ b/src/monsoonhinge/gateway/routing.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self.reported = 0
+        self.own_reported = 0
         self.open: set[Run] = set()
         self._reported_at = float("-inf")
         self._started_since = 0
@@ -57,6 +58,9 @@
             self._ended.popleft()
         self._started_since = sum(r.started_at > made_at for r in self.open)
         self._ended_since = sum(e.started_at <= made_at for e in self._ended)
+        self.own_reported = (
+            len(self.open) - self._started_since + self._ended_since
+        )
 
     def start(self, run: Run) -> None:
         self.open.add(run)
@@ -75,6 +79,15 @@
         corrected = self.reported + self._started_since - self._ended_since
         return max(len(self.open), corrected)
 
+    def expected(self, share: float) -> float:
+        """Returns the load if all gateways acted as this one did.
+
+        Args:
+            share: Part of the reported load that is this gateway's.
+        """
+        change = (self._started_since - self._ended_since) / share
+        return max(float(len(self.open)), self.reported + change)
+
 
 class _Target:
     """What is known of one target."""
@@ -176,11 +189,13 @@
             if self._capacity(self._targets[name], need)
         ]
         excluded = set(exclude(able))
+        share = self._share(able, need.name)
         scored = sorted(
             (score, name)
             for name in able
             if name not in excluded
-            and (score := self._score(self._targets[name], need)) is not None
+            and (score := self._score(self._targets[name], need, share))
+            is not None
         )[:2]
         if len(scored) < 2:
             return scored[0][1] if scored else ""
@@ -234,12 +249,20 @@
             for replica in state.replicas
         )
 
-    def _score(self, target: _Target, need: Need) -> float | None:
-        load = target.load(need.name).estimate()
+    def _share(self, names: Collection[str], needed: str) -> float:
+        loads = [self._targets[name].load(needed) for name in names]
+        reported = sum(load.reported for load in loads)
+        own = sum(load.own_reported for load in loads)
+        return min(1.0, (own + 1) / (reported + 1))
+
+    def _score(self, target: _Target, need: Need, share: float) -> float | None:
+        load = target.load(need.name)
         capacity = self._capacity(target, need)
-        if load >= capacity:
+        if load.estimate() >= capacity:
             return None
-        score = load / capacity
+        # The other gateways see the same report and probably send their share
+        # to the same targets before the next one.
+        score = load.expected(share) / capacity
         score -= _CACHED_BONUS * target.cache.matched(need.prefixes)
         if target.state.availability_zone != self.availability_zone:
             score += _OTHER_ZONE_PENALTY
