Let stand-in targets show load, memory, caches and faults

Cause: the stand-ins answered every request and order at once, so that no failure of a target could be shown to the other processes.

The engine now has slots with priorities, a prompt prefix cache with numbered event batches, memory that refuses what does not fit, a shared weight store and faults set by settings or POST /faults. Links to control members can pass through relays that hold back or lose bytes. Ports are taken below the range for outgoing connections; the old probe could hand out a port that another connection took before the process started.

Ruled out: a weight store inside each engine, because load time must grow with the loads of all engines together.

--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -1,5 +1,6 @@
 """Starts the processes of a small cluster on loopback."""
 
+from collections.abc import Callable, Iterable
 import dataclasses
 import json
 import os
@@ -12,10 +13,23 @@
 from typing import Any
 import urllib.request
 
+from monsoonhinge.bench import relay
+
 CLUSTER_SECRET = "local-cluster-secret"
 KEY_SECRET = "local-cluster-key-secret"
 
 _HOST = "127.0.0.1"
+_LOG_CHARS = 2000
+_POLL_S = 0.02
+
+# Below the range from which the system takes ports for outgoing connections,
+# so that no connection can take a planned port before its process starts.
+_FIRST_PORT = 20_000
+_LAST_PORT = 32_000
+
+
+class StartFailed(Exception):
+    """A process ended or did not become ready."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +53,15 @@
         """URL of the operations address."""
         return f"http://{_HOST}:{self.settings['operations']['port']}"
 
+    @property
+    def running(self) -> bool:
+        """Whether the process is started and has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def url(self, field: str) -> str:
+        """Returns the URL of an address in the settings."""
+        return f"http://{_HOST}:{self.settings[field]['port']}"
+
 
 class Cluster:
     """Processes on loopback that are started and stopped together.
@@ -46,11 +69,18 @@
     Attributes:
         folder: Folder for settings, data and logs.
         nodes: Processes by node name.
+        relayed: Names of nodes whose links all pass through relays.
+        links: Relays by the names of both ends.
     """
 
-    def __init__(self, *, folder: pathlib.Path) -> None:
+    def __init__(
+        self, *, folder: pathlib.Path, relayed: Iterable[str] = ()
+    ) -> None:
         self.folder = folder
         self.nodes: dict[str, Node] = {}
+        self.relayed = frozenset(relayed)
+        self.links: dict[tuple[str, str], relay.Relay] = {}
+        self._loop: relay.Loop | None = None
         self._ports: set[int] = set()
 
     @classmethod
@@ -63,6 +93,8 @@
         gateways: int = 1,
         engines: int = 1,
         services: int = 1,
+        stores: int = 0,
+        relayed: Iterable[str] = (),
         engine: dict[str, Any] | None = None,
         service: dict[str, Any] | None = None,
         control: dict[str, Any] | None = None,
@@ -77,63 +109,62 @@
             gateways: Number of gateways.
             engines: Number of stand-in engines.
             services: Number of stand-in services.
+            stores: Number of stand-in weight stores, 0 or 1.
+            relayed: Control members whose links all pass through relays.
             engine: Further settings of each engine.
             service: Further settings of each service.
             control: Further settings of each control member.
             gateway: Further settings of each gateway.
         """
-        cluster = cls(folder=folder)
-        members: list[dict[str, Any]] = [
-            {"name": f"control-{n}", "address": cluster.address()}
-            for n in range(controls)
-        ]
+        cluster = cls(folder=folder, relayed=relayed)
+        members = {f"control-{n}": cluster.address() for n in range(controls)}
         scheduler_addresses = [cluster.address() for _ in range(schedulers)]
-        for member in members:
+        for name, address in members.items():
             cluster.add(
-                member["name"],
+                name,
                 "control",
-                listen=member["address"],
-                data_dir=str(folder / member["name"]),
-                members=members,
+                listen=address,
+                data_dir=str(folder / name),
+                members=cluster.members(name, members),
                 **(control or {}),
             )
         for n, address in enumerate(scheduler_addresses):
+            name = f"scheduler-{n}"
             cluster.add(
-                f"scheduler-{n}", "scheduler", listen=address, control=members
+                name,
+                "scheduler",
+                listen=address,
+                control=cluster.members(name, members),
             )
         for n in range(gateways):
+            name = f"gateway-{n}"
             cluster.add(
-                f"gateway-{n}",
+                name,
                 "gateway",
                 callers=cluster.address(),
                 targets=cluster.address(),
-                control=members,
+                control=cluster.members(name, members),
                 schedulers=scheduler_addresses,
                 key_secret=KEY_SECRET,
                 **(gateway or {}),
             )
-        announce_to = [
-            node.settings["targets"] for node in cluster.of("gateway")
-        ]
-        for kind, count, further in (
-            ("engine", engines, engine),
-            ("service", services, service),
-        ):
-            for n in range(count):
-                cluster.add(
-                    f"{kind}-{n}",
-                    "emulator",
-                    target=f"{kind}-{n}",
-                    kind=kind,
-                    listen=cluster.address(),
-                    gateways=announce_to,
-                    memory_bytes=80_000_000_000 if kind == "engine" else 0,
-                    **(further or {}),
-                )
+        further = dict(engine or {})
+        if stores:
+            store = cluster.address()
+            cluster.add(
+                "store-0",
+                "emulator",
+                target="store-0",
+                kind="store",
+                listen=store,
+            )
+            further["store"] = store
+        cluster._add_targets("engine", engines, further)
+        cluster._add_targets("service", services, dict(service or {}))
         cluster.write(
             "operator",
             {
-                "control": members,
+                "control": cluster.members("operator", members),
                 "cluster_secret": CLUSTER_SECRET,
                 "key_secret": KEY_SECRET,
             },
@@ -157,15 +188,30 @@
         self.write(name, node.settings)
         return node
 
+    def members(
+        self, source: str, addresses: dict[str, dict[str, Any]]
+    ) -> list[dict[str, Any]]:
+        """Returns the control members as one process is to reach them."""
+        return [
+            {"name": name, "address": self._link(source, name, address)}
+            for name, address in addresses.items()
+        ]
+
     def address(self) -> dict[str, Any]:
-        """Returns an unused loopback address."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind((_HOST, 0))
-                port = int(probe.getsockname()[1])
-            if port not in self._ports:
+        """Returns an unused loopback address.
+
+        Raises:
+            StartFailed: No port is free.
+        """
+        # Clusters of other processes start their search elsewhere.
+        span = _LAST_PORT - _FIRST_PORT
+        start = os.getpid() * 101 + len(self._ports) + id(self) // 16
+        for step in range(span):
+            port = _FIRST_PORT + (start + step) % span
+            if port not in self._ports and _is_free(port):
                 self._ports.add(port)
                 return {"host": _HOST, "port": port}
+        raise StartFailed("no port is free")
 
     def write(self, name: str, document: dict[str, Any]) -> None:
         """Writes a settings file."""
@@ -204,14 +250,17 @@
         """Waits until the named processes are ready, by default all.
 
         Raises:
-            TimeoutError: One is not ready in time.
+            StartFailed: One has ended or is not ready in time; the message
+                ends with its log.
         """
         deadline = time.monotonic() + timeout
         for name in names or tuple(self.nodes):
             while not self.is_ready(name):
-                if time.monotonic() > deadline:
-                    raise TimeoutError(f"{name} is not ready: {self.log(name)}")
-                time.sleep(0.02)
+                ended = not self.nodes[name].running
+                if ended or time.monotonic() > deadline:
+                    state = "has ended" if ended else "is not ready"
+                    raise StartFailed(f"{name} {state}: {self.log(name)}")
+                time.sleep(_POLL_S)
 
     def is_ready(self, name: str) -> bool:
         """Returns whether a process says that it is ready."""
@@ -231,16 +280,25 @@
             document: dict[str, Any] = json.load(response)
         return document
 
+    def show_faults(self, name: str, *faults: dict[str, Any]) -> None:
+        """Puts faults in effect on a stand-in target."""
+        request = urllib.request.Request(
+            f"{self.nodes[name].url('listen')}/faults",
+            data=json.dumps(faults).encode(),
+        )
+        with urllib.request.urlopen(request, timeout=5) as response:
+            response.read()
+
     def log(self, name: str) -> str:
         """Returns the end of a process's log."""
         path = self.folder / f"{name}.log"
-        return path.read_text()[-2000:] if path.exists() else ""
+        return path.read_text()[-_LOG_CHARS:] if path.exists() else ""
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
-        process = self.nodes[name].process
-        if process is not None and process.poll() is None:
-            process.send_signal(number)
+        node = self.nodes[name]
+        if node.running and node.process is not None:
+            node.process.send_signal(number)
 
     def kill(self, name: str) -> None:
         """Ends a process at once."""
@@ -255,8 +313,68 @@
         process = self.nodes[name].process
         return process.wait(timeout) if process is not None else 0
 
+    def disturb(
+        self, name: str, mode: relay.Mode, *directions: relay.Direction
+    ) -> None:
+        """Sets the mode of every relayed link to and from a process."""
+        for ends, link in self.links.items():
+            if name in ends:
+                link.set(mode, *directions)
+
     def stop(self) -> None:
         """Ends all processes that still run."""
         for name in reversed(self.nodes):
             self.signal(name, signal.SIGCONT)
             self.kill(name)
+        if self._loop is not None:
+            self._loop.stop()
+            self._loop = None
+
+    def _link(
+        self, source: str, name: str, address: dict[str, Any]
+    ) -> dict[str, Any]:
+        if source == name or not self.relayed & {source, name}:
+            return address
+        if self._loop is None:
+            self._loop = relay.Loop()
+        link = self._loop.relay(**address)
+        self.links[source, name] = link
+        return {"host": link.host, "port": link.port}
+
+    def _add_targets(
+        self, kind: str, count: int, further: dict[str, Any]
+    ) -> None:
+        gateways = [node.settings["targets"] for node in self.of("gateway")]
+        for n in range(count):
+            name = f"{kind}-{n}"
+            fields = {
+                "target": name,
+                "kind": kind,
+                "listen": self.address(),
+                "gateways": gateways,
+                "memory_bytes": 80_000_000_000 if kind == "engine" else 0,
+                **further,
+            }
+            self.add(name, "emulator", **fields)
+
+
+def wait_until(holds: Callable[[], bool], *, timeout: float, what: str) -> None:
+    """Polls until a condition holds.
+
+    Raises:
+        TimeoutError: It does not hold in time.
+    """
+    deadline = time.monotonic() + timeout
+    while not holds():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not within {timeout} s: {what}")
+        time.sleep(_POLL_S)
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((_HOST, port))
+        except OSError:
+            return False
+    return True
--- a/src/monsoonhinge/emulator/engine.py
+++ b/src/monsoonhinge/emulator/engine.py
@@ -1,17 +1,19 @@
 """Stand-in for a model engine."""
 
-import asyncio
+import collections
 import dataclasses
-import json
 import time
 from typing import Any
 
-import aiohttp
-from aiohttp import web
-
+from monsoonhinge.emulator import batching
+from monsoonhinge.emulator import memory
 from monsoonhinge.emulator import options
+from monsoonhinge.emulator import prefixcache
+from monsoonhinge.emulator import target as targets
+from monsoonhinge.emulator import weightstore
 
-_RECENT_ORDERS = 256
+_KEPT_OUTCOMES = 256
+_KEPT_ORDERS = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,46 +23,91 @@
     model: str
     version: str
     order_id: str
+    slots: batching.Slots
     state: str = "loading"
     adapters: set[str] = dataclasses.field(default_factory=set)
-    running: int = 0
+
+    def serves(self, name: str) -> bool:
+        """Returns whether it can answer for a model or adapter."""
+        return self.state == "loaded" and (
+            self.model == name or name in self.adapters
+        )
 
 
-class Target:
-    """State that engines and services share.
+class Engine(targets.Target):
+    """An engine with replicas, memory and a prompt cache.
 
     Attributes:
-        received: Headers of every request, for tests.
-        runs: Count of requests run, by method and path.
+        fencing: Highest fencing number seen.
+        refused_orders: Orders refused for an old fencing number.
+        orders: Latest orders as received.
+        outcomes: Latest outcomes by order id.
+        replicas: Replicas by the id of the order that created them.
+        memory: Accelerator memory.
+        prefixes: Prompt prefix cache.
+        store: Source of weights.
+        checkpoints: Versions loaded before, kept on the engine's disk.
     """
 
     def __init__(self, config: options.Emulator) -> None:
-        self.config = config
-        self.incarnation = time.time_ns()
-        self.sequence = 0
-        self.leaving = False
+        super().__init__(config)
         self.fencing = 0
-        self.replicas: dict[str, Replica] = {}
+        self.refused_orders = 0
+        self.orders: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=_KEPT_ORDERS
+        )
         self.outcomes: dict[str, dict[str, str]] = {}
-        self.received: list[dict[str, str]] = []
-        self.runs: dict[str, int] = {}
+        self.replicas: dict[str, Replica] = {}
+        self.memory = memory.Memory(total_bytes=config.memory_bytes)
+        self.prefixes = prefixcache.PrefixCache(
+            size=config.cached_prefixes,
+            lag_s=config.cache_lag_s,
+            gap_every=config.cache_gap_every,
+        )
+        self.store = weightstore.Client(config.store)
+        self.checkpoints: dict[tuple[str, str], None] = {}
+        self._reports: collections.deque[
+            tuple[float, dict[str, tuple[int, int]]]
+        ] = collections.deque(maxlen=1024)
+
+    def new_replica(self, *, model: str, version: str, order_id: str) -> None:
+        """Adds a replica that is loading."""
+        self.replicas[order_id] = Replica(
+            model=model,
+            version=version,
+            order_id=order_id,
+            slots=batching.Slots(self.config.slots),
+        )
+
+    def finish_order(self, order_id: str, outcome: str, reason: str) -> None:
+        """Remembers the outcome of an order."""
+        self.outcomes[order_id] = {
+            "order_id": order_id,
+            "outcome": outcome,
+            "reason": reason,
+        }
+        while len(self.outcomes) > _KEPT_OUTCOMES:
+            del self.outcomes[next(iter(self.outcomes))]
+
+    def find(self, name: str) -> Replica | None:
+        """Returns the least busy replica that serves a name."""
+        found = [item for item in self.replicas.values() if item.serves(name)]
+        return min(
+            found,
+            key=lambda item: item.slots.running + item.slots.waiting,
+            default=None,
+        )
 
     def announcement(self) -> dict[str, Any]:
-        """Returns the next announcement."""
-        self.sequence += 1
-        config = self.config
+        """Returns the announcement as of now."""
+        load = self._reported_load(time.monotonic())
         return {
-            "target": config.target,
-            "incarnation": self.incarnation,
-            "sequence": self.sequence,
-            "kind": config.kind,
-            "services": config.services,
-            "availability_zone": config.availability_zone,
-            "address": config.listen.model_dump(),
-            "memory_bytes": config.memory_bytes,
-            "checks_fencing": config.checks_fencing,
+            **super().announcement(),
             "fencing": self.fencing,
-            "leaving": self.leaving,
+            "cached": [
+                {"model": model, "version": version, "tier": "disk"}
+                for model, version in self.checkpoints
+            ],
             "replicas": [
                 {
                     "model": replica.model,
@@ -68,167 +115,60 @@
                     "state": replica.state,
                     "order_id": replica.order_id,
                     "adapters": sorted(replica.adapters),
-                    "running": replica.running,
+                    "running": load.get(replica.order_id, (0, 0))[0],
+                    "waiting": load.get(replica.order_id, (0, 0))[1],
                 }
                 for replica in self.replicas.values()
             ],
-            "orders": list(self.outcomes.values())[-_RECENT_ORDERS:],
+            "orders": list(self.outcomes.values()),
         }
 
-    def record(self, request: web.Request) -> None:
-        """Remembers a request for tests."""
-        self.received.append(dict(request.headers))
-        key = f"{request.method} {request.path}"
-        self.runs[key] = self.runs.get(key, 0) + 1
-
-    async def announce_forever(self) -> None:
-        """Posts announcements to one gateway after another."""
-        async with aiohttp.ClientSession() as session:
-            gateways = self.config.gateways
-            while True:
-                address = gateways[self.sequence % len(gateways)]
-                await self._announce(session, f"http://{address}")
-                await asyncio.sleep(self.config.announce_s)
-
-    async def _announce(self, session: aiohttp.ClientSession, url: str) -> None:
-        try:
-            async with session.post(
-                f"{url}/targets/announce",
-                json=self.announcement(),
-                timeout=aiohttp.ClientTimeout(total=1),
-            ) as response:
-                await response.read()
-        except (aiohttp.ClientError, TimeoutError):
-            return
-
-
-def engine_application(target: Target) -> web.Application:
-    """Makes the HTTP application of a stand-in engine."""
-    tasks: set[asyncio.Task[None]] = set()
-
-    async def order(request: web.Request) -> web.Response:
-        document = await request.json()
-        order_id = document["order_id"]
-        if target.config.checks_fencing and (
-            document["fencing"] < target.fencing
-        ):
-            return web.Response(status=409, text="old fencing number")
-        target.fencing = max(target.fencing, document["fencing"])
-        if order_id not in target.outcomes:
-            target.outcomes[order_id] = {
-                "order_id": order_id,
-                "outcome": "done",
-            }
-            task = asyncio.get_running_loop().create_task(
-                _execute(target, document)
-            )
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-        return web.Response(status=202)
-
-    async def complete(request: web.Request) -> web.StreamResponse:
-        target.record(request)
-        document = await request.json()
-        replica = _find(target, document["model"])
-        if replica is None:
-            return web.Response(status=404, text="model is not loaded")
-        replica.running += 1
-        try:
-            return await _generate(target, request, document)
-        finally:
-            replica.running -= 1
-
-    app = web.Application()
-    app.router.add_post("/orders", order)
-    app.router.add_post("/v1/{tail:.*}", complete)
-    return app
-
-
-def service_application(target: Target) -> web.Application:
-    """Makes the HTTP application of a stand-in plain service."""
-
-    async def call(request: web.Request) -> web.Response:
-        target.record(request)
-        body = await request.read()
-        await asyncio.sleep(target.config.service_s)
-        return web.json_response(
-            {
-                "path": request.path,
-                "runs": target.runs[f"{request.method} {request.path}"],
-                "received": body.decode(errors="replace"),
-            },
-            headers=_echo(request),
-        )
-
-    app = web.Application()
-    app.router.add_route("*", "/{tail:.*}", call)
-    return app
-
-
-def _echo(request: web.Request) -> dict[str, str]:
-    return {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+    def next_announcement(self) -> dict[str, Any]:
+        """Returns the announcement to post, with new cache events."""
+        batch, events = self.prefixes.next_batch(time.monotonic())
+        return {
+            **self.announcement(),
+            "cache_batch": batch,
+            "cache_events": events,
+        }
 
+    def dump(self) -> dict[str, Any]:
+        """Returns what tests look at."""
+        return {
+            **super().dump(),
+            "orders": list(self.orders),
+            "refused_orders": self.refused_orders,
+            "memory": {
+                **dataclasses.asdict(self.memory),
+                "used_bytes": self.memory.used_bytes,
+            },
+            "slots": {
+                replica.order_id: {
+                    "running": replica.slots.running,
+                    "waiting": replica.slots.waiting,
+                    "peak": replica.slots.peak,
+                }
+                for replica in self.replicas.values()
+            },
+            "cache": {
+                "batch": self.prefixes.batch,
+                "hits": self.prefixes.hits,
+            },
+        }
 
-def _find(target: Target, name: str) -> Replica | None:
-    for replica in target.replicas.values():
-        if replica.state == "loaded" and (
-            replica.model == name or name in replica.adapters
+    def _reported_load(self, now: float) -> dict[str, tuple[int, int]]:
+        current = {
+            order_id: (replica.slots.running, replica.slots.waiting)
+            for order_id, replica in self.replicas.items()
+        }
+        if not self.config.load_lag_s:
+            return current
+        self._reports.append((now, current))
+        # The oldest report that is due stays until a newer one is due.
+        while (
+            len(self._reports) > 1
+            and now - self._reports[1][0] >= self.config.load_lag_s
         ):
-            return replica
-    return None
-
-
-async def _execute(target: Target, document: dict[str, Any]) -> None:
-    config = target.config
-    match document["action"]:
-        case "load":
-            replica = Replica(
-                model=document["model"],
-                version=document["model_version"],
-                order_id=document["order_id"],
-            )
-            target.replicas[replica.order_id] = replica
-            await asyncio.sleep(config.load_s)
-            replica.state = "loaded"
-        case "unload":
-            target.replicas.pop(document["replica"], None)
-        case "load_adapter":
-            await asyncio.sleep(config.adapter_load_s)
-            found = target.replicas.get(document["replica"])
-            if found is not None:
-                found.adapters.add(document["adapter"])
-        case "unload_adapter":
-            found = target.replicas.get(document["replica"])
-            if found is not None:
-                found.adapters.discard(document["adapter"])
-
-
-async def _generate(
-    target: Target, request: web.Request, document: dict[str, Any]
-) -> web.StreamResponse:
-    count = int(document.get("max_tokens", 8))
-    words = [f"word{number}" for number in range(count)]
-    message = {"role": "assistant", "content": " ".join(words)}
-    await asyncio.sleep(target.config.first_token_s)
-    if not document.get("stream"):
-        await asyncio.sleep(target.config.token_s * count)
-        return web.json_response(
-            {
-                "object": "chat.completion",
-                "model": document["model"],
-                "choices": [{"message": message}],
-                "usage": {"completion_tokens": count},
-            },
-            headers=_echo(request),
-        )
-    response = web.StreamResponse(
-        headers={"Content-Type": "text/event-stream", **_echo(request)}
-    )
-    await response.prepare(request)
-    for word in words:
-        event = {"choices": [{"delta": {"content": word}}]}
-        await response.write(f"data: {json.dumps(event)}\n\n".encode())
-        await asyncio.sleep(target.config.token_s)
-    await response.write(b"data: [DONE]\n\n")
-    await response.write_eof()
-    return response
+            self._reports.popleft()
+        at, load = self._reports[0]
+        return load if now - at >= self.config.load_lag_s else {}
--- /dev/null
+++ b/src/monsoonhinge/emulator/memory.py
@@ -0,0 +1,38 @@
+"""Accelerator memory of a stand-in engine."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Memory:
+    """Counts reserved bytes and refuses what does not fit.
+
+    Attributes:
+        total_bytes: Size of the memory.
+        reserved: Bytes by holder.
+        peak_bytes: Most bytes reserved at a time.
+        overcommit_attempts: Reservations that did not fit.
+    """
+
+    total_bytes: int
+    reserved: dict[str, int] = dataclasses.field(default_factory=dict)
+    peak_bytes: int = 0
+    overcommit_attempts: int = 0
+
+    @property
+    def used_bytes(self) -> int:
+        """Bytes reserved now."""
+        return sum(self.reserved.values())
+
+    def reserve(self, holder: str, size: int) -> bool:
+        """Reserves memory, and returns whether it fits."""
+        if self.used_bytes + size > self.total_bytes:
+            self.overcommit_attempts += 1
+            return False
+        self.reserved[holder] = size
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        return True
+
+    def release(self, holder: str) -> None:
+        """Frees what the holder reserved."""
+        self.reserved.pop(holder, None)
--- /dev/null
+++ b/src/monsoonhinge/emulator/orders.py
@@ -0,0 +1,151 @@
+"""Orders to a stand-in engine."""
+
+import asyncio
+import collections
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from monsoonhinge.emulator import engine as engines
+
+_KEPT_IDS = 10_000
+
+
+class Orders:
+    """Executes orders once by id.
+
+    Attributes:
+        engine: The engine.
+        tasks: Orders in progress.
+    """
+
+    def __init__(self, engine: engines.Engine) -> None:
+        self.engine = engine
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._known: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    async def receive(self, request: web.Request) -> web.Response:
+        """Answers ``POST /orders``; the outcome is announced later."""
+        engine = self.engine
+        document = await request.json()
+        engine.orders.append(document)
+        if document["fencing"] < engine.fencing and (
+            engine.config.checks_fencing
+        ):
+            engine.refused_orders += 1
+            return web.Response(status=409, text="old fencing number")
+        engine.fencing = max(engine.fencing, document["fencing"])
+        order_id = document["order_id"]
+        if order_id not in self._known:
+            self._known[order_id] = None
+            if len(self._known) > _KEPT_IDS:
+                self._known.popitem(last=False)
+            task = asyncio.get_running_loop().create_task(
+                self._execute(document)
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return web.Response(status=202)
+
+    async def stop(self) -> None:
+        """Ends the orders in progress."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.engine.store.close()
+
+    async def _execute(self, document: dict[str, Any]) -> None:
+        match document["action"]:
+            case "load":
+                reason = await self._load(document)
+            case "unload":
+                reason = self._unload(document["replica"])
+            case "load_adapter":
+                reason = await self._load_adapter(document)
+            case "unload_adapter":
+                reason = self._unload_adapter(document)
+            case action:
+                reason = f"refused: unknown action {action!r}"
+        outcome = "done"
+        if reason:
+            outcome = "refused" if reason.startswith("refused") else "failed"
+        self.engine.finish_order(document["order_id"], outcome, reason)
+
+    async def _load(self, document: dict[str, Any]) -> str:
+        engine = self.engine
+        order_id, model = document["order_id"], document["model"]
+        size = engine.config.models.get(model)
+        wanted = size.bytes if size else engine.config.default_bytes
+        if not engine.memory.reserve(order_id, wanted):
+            return "refused: not enough memory"
+        engine.new_replica(
+            model=model, version=document["model_version"], order_id=order_id
+        )
+        seconds = engine.config.load_s
+        if size is not None and size.load_s is not None:
+            seconds = size.load_s
+        reason = await self._fetch("model", order_id, seconds)
+        replica = engine.replicas.get(order_id)
+        if replica is None:
+            return reason or "unloaded while loading"
+        if reason:
+            self._unload(order_id)
+            return reason
+        replica.state = "loaded"
+        engine.checkpoints[(model, replica.version)] = None
+        return ""
+
+    async def _fetch(self, kind: str, holder: str, seconds: float) -> str:
+        faults = self.engine.faults
+        if faults.take("load_hangs"):
+            await asyncio.get_running_loop().create_future()
+        if faults.take("load_fails"):
+            return "the load failed"
+        slow = faults.take("load_slow")
+        if slow is not None:
+            seconds += slow.seconds
+        try:
+            await self.engine.store.load(
+                kind=kind, holder=holder, seconds=seconds
+            )
+        except aiohttp.ClientError as error:
+            return f"the weight store failed: {error}"
+        return ""
+
+    def _unload(self, order_id: str) -> str:
+        engine = self.engine
+        replica = engine.replicas.pop(order_id, None)
+        if replica is None:
+            return ""
+        engine.memory.release(order_id)
+        for adapter in replica.adapters:
+            engine.memory.release(f"{order_id}/{adapter}")
+        return ""
+
+    async def _load_adapter(self, document: dict[str, Any]) -> str:
+        engine = self.engine
+        holder = f"{document['replica']}/{document['adapter']}"
+        if document["replica"] not in engine.replicas:
+            return "refused: no such replica"
+        if not engine.memory.reserve(holder, engine.config.adapter_bytes):
+            return "refused: not enough memory"
+        reason = await self._fetch(
+            "adapter", holder, engine.config.adapter_load_s
+        )
+        replica = engine.replicas.get(document["replica"])
+        if replica is None or reason:
+            engine.memory.release(holder)
+            return reason or "the replica is gone"
+        replica.adapters.add(document["adapter"])
+        return ""
+
+    def _unload_adapter(self, document: dict[str, Any]) -> str:
+        engine = self.engine
+        replica = engine.replicas.get(document["replica"])
+        if replica is not None:
+            replica.adapters.discard(document["adapter"])
+        engine.memory.release(f"{document['replica']}/{document['adapter']}")
+        return ""
--- /dev/null
+++ b/src/monsoonhinge/emulator/prefixcache.py
@@ -0,0 +1,84 @@
+"""Prompt prefix cache of a stand-in engine."""
+
+import collections
+from typing import Any
+
+# Announcements stay small; older events are sent in later batches.
+_BATCH_EVENTS = 256
+
+
+class PrefixCache:
+    """Keeps the most recently used prefixes and reports changes in batches.
+
+    Attributes:
+        size: Prefixes kept.
+        lag_s: Delay of events.
+        gap_every: Drops every n-th batch; 0 for none.
+        batch: Number of the latest batch.
+        hits: Prompts whose prefix was at least partly cached.
+    """
+
+    def __init__(self, *, size: int, lag_s: float, gap_every: int) -> None:
+        self.size = size
+        self.lag_s = lag_s
+        self.gap_every = gap_every
+        self.batch = 0
+        self.hits = 0
+        self._prefixes: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[tuple[float, int, bool]] = (
+            collections.deque()
+        )
+
+    def use(self, prefixes: list[int], now: float) -> float:
+        """Looks a prompt up and stores it.
+
+        Args:
+            prefixes: Ids of the prompt's prefixes, shortest first.
+            now: Current time in seconds.
+
+        Returns:
+            Share of the prompt that was cached, from 0 to 1.
+        """
+        found = 0
+        for prefix in prefixes:
+            if prefix not in self._prefixes:
+                break
+            found += 1
+        self.hits += found > 0
+        for prefix in prefixes:
+            if prefix not in self._prefixes:
+                self._events.append((now, prefix, True))
+            self._prefixes[prefix] = None
+            self._prefixes.move_to_end(prefix)
+        while len(self._prefixes) > self.size:
+            dropped, _ = self._prefixes.popitem(last=False)
+            self._events.append((now, dropped, False))
+        return found / len(prefixes) if prefixes else 0.0
+
+    def clear(self, now: float) -> None:
+        """Drops everything, as when a replica is unloaded."""
+        for prefix in self._prefixes:
+            self._events.append((now, prefix, False))
+        self._prefixes.clear()
+
+    def next_batch(self, now: float) -> tuple[int, list[dict[str, Any]]]:
+        """Returns the number and the events of the next batch that is due.
+
+        A batch that the settings drop is skipped, which leaves a gap in the
+        numbers.
+        """
+        events: list[dict[str, Any]] = []
+        while (
+            self._events
+            and len(events) < _BATCH_EVENTS
+            and now - self._events[0][0] >= self.lag_s
+        ):
+            _, prefix, stored = self._events.popleft()
+            events.append({"prefix": prefix, "stored": stored})
+        if events:
+            self.batch += 1
+            if self.gap_every and self.batch % self.gap_every == 0:
+                events = []
+        return self.batch, events
