--- a/src/monsoonhinge/bench/relay.py
+++ b/src/monsoonhinge/bench/relay.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
+import socket
+import struct
 import threading
 from typing import Any, Literal
 
@@ -91,11 +93,12 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump("forward", reader, requests))
                 group.create_task(self._pump("backward", answers, writer))
+            for side in writers:
+                side.close()
         except (OSError, asyncio.CancelledError, ExceptionGroup):
-            pass
-        finally:
             for side in writers:
-                side.transport.abort()
+                _reset(side)
+        finally:
             self.connections -= 1
             self._tasks.discard(task)
 
@@ -151,6 +154,15 @@
             reading.cancel()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    # Without lingering, closing sends a reset and no regular end of stream.
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
+
+
 class Loop:
     """Runs relays on an event loop in a thread of its own.
 
--- a/src/monsoonhinge/emulator/weightstore.py
+++ b/src/monsoonhinge/emulator/weightstore.py
@@ -26,28 +26,36 @@
         self.active = dict.fromkeys(full_speed, 0)
         self.peak = dict.fromkeys(full_speed, 0)
         self.loads: list[dict[str, Any]] = []
+        self._done: dict[str, tuple[float, float]] = {}
 
     async def load(self, *, kind: str, holder: str, seconds: float) -> float:
         """Waits as long as a load takes and returns that time in seconds."""
         loop = asyncio.get_running_loop()
-        started = before = loop.time()
+        started = loop.time()
+        target = self._advance(kind, started) + seconds
         self.active[kind] += 1
         self.peak[kind] = max(self.peak[kind], self.active[kind])
-        left = seconds
         try:
-            while left > 0:
-                speed = min(1.0, self.full_speed[kind] / self.active[kind])
-                await asyncio.sleep(min(_STEP_S, left / speed))
-                now = loop.time()
-                left -= (now - before) * speed
-                before = now
+            while (left := target - self._advance(kind, loop.time())) > 0:
+                await asyncio.sleep(min(_STEP_S, left / self._speed(kind)))
         finally:
+            self._advance(kind, loop.time())
             self.active[kind] -= 1
         took = loop.time() - started
         self.loads.append({"kind": kind, "holder": holder, "seconds": took})
         del self.loads[:-_LOG_LOADS]
         return took
 
+    def _speed(self, kind: str) -> float:
+        return min(1.0, self.full_speed[kind] / max(1, self.active[kind]))
+
+    def _advance(self, kind: str, now: float) -> float:
+        """Returns the seconds of load done so far by each load in progress."""
+        done, at = self._done.get(kind, (0.0, now))
+        done += (now - at) * self._speed(kind)
+        self._done[kind] = (done, now)
+        return done
+
 
 def application(store: WeightStore) -> web.Application:
     """Makes the HTTP application of the store.
