--- a/src/monsoonhinge/emulator/weightstore.py
+++ b/src/monsoonhinge/emulator/weightstore.py
@@ -36,8 +36,10 @@
         self.active[kind] += 1
         self.peak[kind] = max(self.peak[kind], self.active[kind])
         try:
-            while (left := target - self._advance(kind, loop.time())) > 0:
+            left = seconds
+            while left > 0:
                 await asyncio.sleep(min(_STEP_S, left / self._speed(kind)))
+                left = target - self._advance(kind, loop.time())
         finally:
             self._advance(kind, loop.time())
             self.active[kind] -= 1
