--- a/src/monsoonhinge/emulator/prefixcache.py
+++ b/src/monsoonhinge/emulator/prefixcache.py
@@ -27,6 +27,7 @@
         self._prefixes: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
+        self._announced = 0
         self._events: collections.deque[tuple[float, int, bool]] = (
             collections.deque()
         )
@@ -81,4 +82,6 @@
             self.batch += 1
             if self.gap_every and self.batch % self.gap_every == 0:
                 events = []
-        return self.batch, events
+            else:
+                self._announced = self.batch
+        return self._announced, events
--- a/src/monsoonhinge/targets/prefixes.py
+++ b/src/monsoonhinge/targets/prefixes.py
@@ -1,6 +1,7 @@
-"""Identities of prompt prefixes in cache events.
+"""Names of prompt prefixes in cache events.
 
-Engines and gateways must derive the same numbers, so both use this module.
+A prompt is cut into blocks of ``BLOCK_BYTES``. Prefix k is named by the first
+63 bits of BLAKE2b over the model name, a zero byte and the first k blocks.
 """
 
 from collections.abc import Iterator
@@ -8,12 +9,12 @@
 import json
 from typing import Any
 
-BLOCK_CHARS = 256
-MAX_BLOCKS = 64
+BLOCK_BYTES = 512
+MAX_BLOCKS = 32
 
 
-def prompt_text(document: dict[str, Any]) -> str:
-    """Returns the prompt of a request body as one text.
+def prompt_of(document: dict[str, Any]) -> bytes:
+    """Returns the prompt of a request body.
 
     Args:
         document: Body of a chat, completion or embedding request.
@@ -21,20 +22,20 @@
     for field in ("messages", "prompt", "input"):
         value = document.get(field)
         if value:
-            return value if isinstance(value, str) else json.dumps(value)
-    return ""
+            text = value if isinstance(value, str) else json.dumps(value)
+            return text.encode()
+    return b""
 
 
-def prefix_ids(model: str, prompt: str) -> Iterator[int]:
-    """Yields the ids of the prompt's whole blocks, shortest prefix first.
+def prefix_names(model: str, prompt: bytes) -> Iterator[int]:
+    """Yields the names of the prompt's whole blocks, the shortest first.
 
     Args:
         model: Model or adapter name, since its cache entries fit no other.
-        prompt: The prompt as one text.
+        prompt: The prompt.
     """
-    total = hashlib.sha256(model.encode() + b"\0")
-    for number in range(min(len(prompt) // BLOCK_CHARS, MAX_BLOCKS)):
-        start = number * BLOCK_CHARS
-        total.update(prompt[start : start + BLOCK_CHARS].encode())
-        # Ids stay below 2**63 so that they fit a signed integer everywhere.
-        yield int.from_bytes(total.digest()[:8], "big") >> 1
+    state = hashlib.blake2b(model.encode() + b"\0", digest_size=8)
+    for number in range(min(len(prompt) // BLOCK_BYTES, MAX_BLOCKS)):
+        start = number * BLOCK_BYTES
+        state.update(prompt[start : start + BLOCK_BYTES])
+        yield int.from_bytes(state.copy().digest(), "big") >> 1
