--- a/src/monsoonhinge/control/leases.py
+++ b/src/monsoonhinge/control/leases.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from monsoonhinge.control import machine
+from monsoonhinge.control.state import leases as lease_table
 from monsoonhinge.protocol import messages
 
 
@@ -40,7 +40,7 @@
         return True
 
     def expire(
-        self, leases: Mapping[str, machine.Lease], now: float
+        self, leases: Mapping[str, lease_table.Lease], now: float
     ) -> list[tuple[str, int]]:
         """Returns name and fencing number of leases to expire now.
 
--- a/src/monsoonhinge/control/replica.py
+++ b/src/monsoonhinge/control/replica.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import typing
 
 from monsoonhinge.config import delta
 from monsoonhinge.control import machine
@@ -15,12 +14,6 @@
 _SNAPSHOT_PART_BYTES = 1024 * 1024
 
 
-class _Snapshots(typing.Protocol):
-    def snapshot(self) -> bytes: ...
-
-    def restore(self, data: bytes) -> None: ...
-
-
 class Replica:
     """Applies the log and pushes new configurations to the watchers.
 
@@ -48,11 +41,11 @@
 
     def snapshot(self) -> bytes:
         """Returns the whole state."""
-        return self._snapshots().snapshot()
+        return self.machine.snapshot()
 
     def restore(self, data: bytes) -> None:
         """Replaces the whole state by a snapshot."""
-        self._snapshots().restore(data)
+        self.machine.restore(data)
         for link in list(self.watchers):
             self._send_snapshot(link)
         self._notify()
@@ -71,9 +64,6 @@
         """Waits until the next command is applied."""
         await self._changed.wait()
 
-    def _snapshots(self) -> _Snapshots:
-        return typing.cast(_Snapshots, self.machine)
-
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
