--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -26,6 +26,9 @@
 
 _TICKS_PER_HEARTBEAT = 4
 
+# One command and a batch of others together fit one frame.
+MAX_COMMAND_BYTES = 6 * 1024 * 1024
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -164,7 +167,16 @@
         Raises:
             types.NotLeader: This member does not lead, or no longer. In the
                 latter case the command may still be committed.
+            errors.RemoteError: The command is too large.
         """
+        if len(data) > MAX_COMMAND_BYTES:
+            raise errors.RemoteError(
+                f"command of {len(data)} bytes exceeds {MAX_COMMAND_BYTES}",
+                code="too_large",
+                leader="",
+                step="propose",
+                peer="",
+            )
         self._require_leadership("propose")
         proposal = _Proposal(
             data=data,
--- a/src/monsoonhinge/consensus/election.py
+++ b/src/monsoonhinge/consensus/election.py
@@ -44,7 +44,12 @@
         """Asks whether an election could succeed; returns if it is won."""
         self._state.role = types.Role.PRE_CANDIDATE
         self._state.leader = ""
-        return self._campaign(now, pre_vote=True)
+        won = self._campaign(now, pre_vote=True)
+        # The others may have heard the leader slightly later and refuse; a
+        # pre-vote changes no term, so asking again soon is harmless.
+        timeout = self._state.timing.election_timeout_s
+        self.deadline = now + self._state.rng.uniform(timeout / 4, timeout / 2)
+        return won
 
     def start_vote(self, now: float, *, transfer: bool = False) -> None:
         """Starts an election; its own vote counts once it is durable.
--- a/src/monsoonhinge/control/duties.py
+++ b/src/monsoonhinge/control/duties.py
@@ -16,6 +16,9 @@
 
 _INTERVAL_S = 0.1
 
+# Each check scans the call records, and sessions expire only after seconds.
+_SESSION_INTERVAL_S = 1.0
+
 # Dropping records a little late is harmless; scanning them often is not.
 _RETENTION_INTERVAL_S = 10.0
 
@@ -47,6 +50,7 @@
         self._replica = replica
         self._members = members
         self._term = 0
+        self._sessions_at = 0.0
         self._retention_at = 0.0
 
     def probed(self, subscribers: list[messages.SubscriberState]) -> None:
@@ -84,9 +88,18 @@
             except errors.MonsoonhingeError:
                 self.leases.retry(name, fencing)
                 raise
+        if now >= self._sessions_at:
+            self._sessions_at = now + _SESSION_INTERVAL_S
+            await self._abandon_calls(now)
+        if now >= self._retention_at:
+            self._retention_at = now + _RETENTION_INTERVAL_S
+            await self._drop_calls()
+        await self._members.advance()
+
+    async def _abandon_calls(self, now: float) -> None:
         running = {
             call.gateway
-            for call in machine.calls.values()
+            for call in self._replica.machine.calls.values()
             if call.state == "running"
         }
         for gateway in self.sessions.lost(running, now):
@@ -94,10 +107,6 @@
             await self._commit(commands.AbandonCalls(gateway=gateway))
         for session in self.sessions.lost(self.subscribers, now):
             del self.subscribers[session]
-        if now >= self._retention_at:
-            self._retention_at = now + _RETENTION_INTERVAL_S
-            await self._drop_calls()
-        await self._members.advance()
 
     async def _drop_calls(self) -> None:
         before_ms = int((time.time() - self._config.call_retention_s) * 1000)
