Give adapter changes decision ids of their own in the log

Cause: the state machine keyed adapter changes by replica and adapter name and refused ids with a slash, while the scheduler gives each change a unique id below the replica's, so that an adapter can be loaded again on the same replica. Ruled out: one id per replica and adapter, because orders are idempotent by id and a second load would be ignored by the target. Before: test_adapters_stay_within_their_memory failed on the merged code; after: it passes with the other scheduler and control tests. Conclusion: settling a replica also settles the adapter changes below it.

--- a/src/monsoonhinge/control/state/decisions.py
+++ b/src/monsoonhinge/control/state/decisions.py
@@ -19,8 +19,8 @@
     """Decided replicas and adapter changes in progress.
 
     Attributes:
-        decided: Latest change by decision id; ``id/adapter`` for a change of
-            an adapter of the replica.
+        decided: Latest change by decision id. The id of an adapter change
+            is the replica's id, a slash and a suffix.
         settled: Ids of replicas that are gone, oldest first.
     """
 
@@ -28,7 +28,7 @@
         self.decided: dict[str, commands.ReplicaChange] = {}
         self.settled: dict[str, None] = {}
         self._fencing = 0
-        # Adapters with a change in progress by decision id.
+        # Ids of adapter changes in progress by the replica's id.
         self._adapters: dict[str, dict[str, None]] = {}
 
     def decide(self, command: commands.DecideReplicas) -> commands.Accepted:
@@ -73,15 +73,20 @@
         for _ in range(count):
             (decision_id,), _ = next(table)
             result.settled[decision_id] = None
-        for (name, fields), _ in table:
-            result._store(name, commands.ReplicaChange(**fields))
+        for (_, fields), _ in table:
+            result._store(commands.ReplicaChange(**fields))
         return result
 
     def _problem(self, change: commands.ReplicaChange) -> str:
         if change.action not in _ACTIONS:
             return f"unknown action {change.action!r}"
-        if not change.decision_id or "/" in change.decision_id:
-            return "an id must not be empty or contain a slash"
+        replica, slash, suffix = change.decision_id.partition("/")
+        if not replica or (slash and not suffix):
+            return "an id must not be empty"
+        if change.action.endswith("_adapter") != bool(slash) and (
+            change.action != "settled"
+        ):
+            return "only the id of an adapter change has a suffix"
         known = self.decided.get(change.decision_id)
         if (
             known is not None
@@ -94,13 +99,11 @@
     def _apply(self, change: commands.ReplicaChange) -> None:
         decision_id = change.decision_id
         if change.action == "settled":
-            self._settle(change)
+            self._settle(decision_id)
         elif decision_id in self.settled:
             pass
-        elif change.action in ("load_adapter", "unload_adapter"):
-            self._store(f"{decision_id}/{change.adapter}", change)
         elif decision_id not in self.decided:
-            self._store(decision_id, change)
+            self._store(change)
         elif change.action == "unload":
             # The memory stays reserved until the replica is reported gone.
             known = self.decided[decision_id]
@@ -108,27 +111,25 @@
                 known, action="unload"
             )
 
-    def _store(self, name: str, change: commands.ReplicaChange) -> None:
-        self.decided[name] = change
-        if name != change.decision_id:
-            adapters = self._adapters.setdefault(change.decision_id, {})
-            adapters[change.adapter] = None
-
-    def _settle(self, change: commands.ReplicaChange) -> None:
-        decision_id = change.decision_id
-        if change.adapter:
-            self._settle_adapter(decision_id, change.adapter)
+    def _store(self, change: commands.ReplicaChange) -> None:
+        replica, slash, _ = change.decision_id.partition("/")
+        if slash and replica in self.settled:
             return
-        for adapter in self._adapters.pop(decision_id, ()):
-            del self.decided[f"{decision_id}/{adapter}"]
+        self.decided[change.decision_id] = change
+        if slash:
+            self._adapters.setdefault(replica, {})[change.decision_id] = None
+
+    def _settle(self, decision_id: str) -> None:
+        replica, slash, _ = decision_id.partition("/")
+        if slash:
+            adapters = self._adapters.get(replica, {})
+            adapters.pop(decision_id, None)
+            if not adapters:
+                self._adapters.pop(replica, None)
+        else:
+            for adapter_change in self._adapters.pop(replica, ()):
+                self.decided.pop(adapter_change, None)
         self.decided.pop(decision_id, None)
         self.settled[decision_id] = None
         while len(self.settled) > MAX_SETTLED:
             del self.settled[next(iter(self.settled))]
-
-    def _settle_adapter(self, decision_id: str, adapter: str) -> None:
-        self.decided.pop(f"{decision_id}/{adapter}", None)
-        adapters = self._adapters.get(decision_id, {})
-        adapters.pop(adapter, None)
-        if not adapters:
-            self._adapters.pop(decision_id, None)
--- a/src/monsoonhinge/protocol/commands.py
+++ b/src/monsoonhinge/protocol/commands.py
@@ -137,10 +137,10 @@
 class ReplicaChange:
     """One change of the decided replicas.
 
-    ``action`` is ``load`` or ``unload``, ``load_adapter`` or
-    ``unload_adapter`` (both for an adapter of the replica decided under
-    ``decision_id``), or ``settled`` once the target itself has reported that
-    the replica is gone or the adapter is loaded or gone.
+    ``action`` is ``load`` or ``unload`` of the replica with that decision id;
+    ``load_adapter`` or ``unload_adapter``, whose decision id is the replica's
+    id, a slash and a unique suffix; or ``settled`` once the target itself has
+    reported that the replica is gone or the adapter is loaded or gone.
     """
 
     action: str = ""
