--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -1,16 +1,16 @@
 """Client of the control members for gateways, schedulers and operators."""
 
 import asyncio
-import collections
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 import json
 import logging
+import random
 import typing
 from typing import Any, TypeVar
 
-from monsoonhinge.config import delta
-from monsoonhinge.config import schema
 from monsoonhinge.config import view as config_view
+from monsoonhinge.control import leader
+from monsoonhinge.control import subscription
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
@@ -18,11 +18,14 @@
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
 
-PROBE_INTERVAL_S = 0.5
-SWITCH_AFTER_S = 1.5
+# How long one member may take to answer before another one is asked.
+ATTEMPT_TIMEOUT_S = 2.0
 
-_ATTEMPT_TIMEOUT_S = 2.0
-_RETRY_DELAY_S = 0.05
+# Errors after which the same request may succeed, since requests are
+# idempotent: the member does not lead, or has lost its quorum.
+RETRIED_CODES = frozenset({"not_leader", "unavailable"})
+
+_TICK_S = 0.05
 
 _LOG = logging.getLogger(__name__)
 
@@ -41,7 +44,7 @@
     """Talks to the control members.
 
     Attributes:
-        view: Configuration in effect in this process.
+        identity: How this process introduces itself.
         peers: Connections to the members by name.
     """
 
@@ -51,8 +54,10 @@
         members: Sequence[settings.Member],
         identity: connection.Identity,
         listener: Listener | None = None,
+        rng: random.Random | None = None,
     ) -> None:
-        self.view = config_view.View()
+        rng = rng or random.Random()
+        names = [member.name for member in members]
         self.identity = identity
         self.peers = {
             member.name: connection.Peer(
@@ -63,29 +68,40 @@
             )
             for member in members
         }
+        self._rng = rng
         self._listener = listener
-        self._objects: dict[str, bytes] = {}
-        self._parsed: dict[str, schema.AnyObject] = {}
-        self._parts: list[bytes] = []
-        self._leader = ""
-        self._watched = ""
-        self._order = collections.deque(self.peers)
-        self._fresh_at: float | None = None
-        self._watched_at = 0.0
-        self._task: asyncio.Task[None] | None = None
+        self._subscription = subscription.Subscription(members=names, rng=rng)
+        self._leader = leader.LeaderGuess(members=names, rng=rng)
+        self._watch_task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def view(self) -> config_view.View:
+        """Configuration in effect in this process."""
+        return self._subscription.replica.view
+
+    @property
+    def watched(self) -> str:
+        """Member that is watched, or ""."""
+        return self._subscription.watched
 
     def start(self, *, watch: bool = True) -> None:
         """Connects to all members, and watches the configuration."""
         for peer in self.peers.values():
             peer.start()
         if watch:
-            self._task = asyncio.get_running_loop().create_task(self._watch())
+            self._watch_task = asyncio.get_running_loop().create_task(
+                self._watch()
+            )
 
     async def stop(self) -> None:
         """Closes all connections."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = list(self._tasks)
+        if self._watch_task is not None:
+            tasks.append(self._watch_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for peer in self.peers.values():
             await peer.stop()
 
@@ -95,7 +111,7 @@
         Args:
             now: Current time of the event loop.
         """
-        return float("inf") if self._fresh_at is None else now - self._fresh_at
+        return self._subscription.staleness(now)
 
     async def propose(
         self,
@@ -114,6 +130,7 @@
         Raises:
             errors.RequestTimeout: No leader confirmed in time. The command
                 may have been committed.
+            errors.RemoteError: The leader refused the command.
         """
         reply = await self.request(
             messages.Propose(command=codec.encode_command(command)),
@@ -143,36 +160,55 @@
         reply_type: type[_Reply],
         *,
         timeout: float,
+        attempt_timeout: float = ATTEMPT_TIMEOUT_S,
     ) -> _Reply:
         """Sends an idempotent request to the leader until it is answered.
 
+        Args:
+            message: The request.
+            reply_type: Class of the reply.
+            timeout: Seconds until it gives up.
+            attempt_timeout: Seconds that one member may take; a request that
+                waits at the leader needs more.
+
         Raises:
-            errors.RequestTimeout: No leader answered in time.
+            errors.RequestTimeout: No leader answered in time. The request may
+                have been carried out.
             errors.RemoteError: The leader refused the request.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        backoff = leader.Backoff(self._rng)
         step = type(message).__name__
+        reason = "no member is connected"
+        if isinstance(message, messages.AwaitCall):
+            attempt_timeout += message.timeout_ms / 1000
         while (left := deadline - loop.time()) > 0:
-            peer = self._leader_peer()
-            if peer is None:
-                await asyncio.sleep(min(_RETRY_DELAY_S, left))
+            name = self._leader.member(self._connected())
+            if not name:
+                await asyncio.sleep(min(_TICK_S, left))
                 continue
             try:
-                return await peer.request(
-                    message, reply_type, timeout=min(left, _ATTEMPT_TIMEOUT_S)
+                return await self.peers[name].request(
+                    message, reply_type, timeout=min(left, attempt_timeout)
                 )
             except errors.RemoteError as error:
-                if error.code != "not_leader":
+                if error.code not in RETRIED_CODES:
                     raise
-                self._leader = error.leader
-            except errors.MonsoonhingeError as error:
+                reason = f"{name}: {error}"
+                if self._leader.redirected(name, error.leader):
+                    delay = backoff.after_redirect()
+                else:
+                    delay = backoff.after_failure()
+            except (errors.ConnectionLost, errors.RequestTimeout) as error:
                 _LOG.debug("retrying %s: %s", step, error)
-                self._leader = ""
-            self._order.rotate(-1)
-            await asyncio.sleep(min(_RETRY_DELAY_S, left))
+                reason = f"{name}: {error}"
+                self._leader.failed(name)
+                delay = backoff.after_failure()
+            await asyncio.sleep(max(0.0, min(delay, deadline - loop.time())))
         raise errors.RequestTimeout(
-            f"no control leader answered within {timeout:.1f} s", step=step
+            f"no control leader answered within {timeout:.1f} s ({reason})",
+            step=step,
         )
 
     def connected(self, link: connection.Connection) -> None:
@@ -185,121 +221,89 @@
         self, link: connection.Connection, message: messages.Message
     ) -> messages.Message | None:
         """Applies configuration pushed by the watched member."""
-        peer = self.peers.get(self._watched)
+        if not isinstance(
+            message, messages.ConfigSnapshot | messages.ConfigDelta
+        ):
+            raise errors.ProtocolError(
+                f"unexpected {type(message).__name__}",
+                step="watch",
+                peer=link.peer,
+            )
+        peer = self.peers.get(self.watched)
         if peer is None or peer.connection is not link:
             return None
-        match message:
-            case messages.ConfigSnapshot():
-                self._receive_snapshot(message)
-            case messages.ConfigDelta():
-                self._receive_delta(message)
-            case _:
-                raise errors.ProtocolError(
-                    f"unexpected {type(message).__name__}", step="watch"
-                )
-        link.notify(messages.InForce(version=self.view.version))
+        try:
+            installed = self._subscription.receive(self.watched, message)
+        except errors.ProtocolError as error:
+            _LOG.warning(
+                "subscribing again: %s",
+                error,
+                extra={"step": error.step, "peer": link.peer},
+            )
+            return None
+        if installed:
+            link.notify(messages.InForce(version=self.view.version))
+            if self._listener is not None:
+                self._listener.config_changed(self.view)
         return None
 
-    def _leader_peer(self) -> connection.Peer | None:
-        peer = self.peers.get(self._leader)
-        if peer is not None and peer.connection is not None:
-            return peer
-        for name in self._order:
-            if self.peers[name].connection is not None:
-                return self.peers[name]
-        return None
+    def _connected(self) -> list[str]:
+        return [
+            name
+            for name, peer in self.peers.items()
+            if peer.connection is not None
+        ]
 
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(PROBE_INTERVAL_S if self._watched else 0.02)
-            try:
-                if not self._watched:
-                    await self._choose_member()
-                else:
-                    await self._probe()
-            except errors.MonsoonhingeError as error:
-                _LOG.debug("watch: %s", error)
-                if not isinstance(error, errors.RequestTimeout):
-                    self._watched = ""
-            if (
-                self._watched
-                and loop.time() - self._watched_at > SWITCH_AFTER_S
-                and self.staleness(loop.time()) > SWITCH_AFTER_S
+            for action in self._subscription.tick(
+                loop.time(), self._connected()
             ):
-                self._watched = ""
-
-    async def _choose_member(self) -> None:
-        for _ in range(len(self._order)):
-            self._order.rotate(-1)
-            name = self._order[0]
-            if self.peers[name].connection is not None:
-                break
-        else:
-            return
-        self._watched = name
-        self._watched_at = asyncio.get_running_loop().time()
-        await self.peers[name].request(
-            messages.Watch(
-                subscriber=self.identity.node,
-                role=self.identity.role,
-                version=self.view.version,
-            ),
-            messages.Ack,
-            timeout=SWITCH_AFTER_S,
-        )
-        await self._probe()
-
-    async def _probe(self) -> None:
-        asked_at = asyncio.get_running_loop().time()
-        fresh = await self.peers[self._watched].request(
-            messages.Probe(), messages.Fresh, timeout=SWITCH_AFTER_S
-        )
-        if self.view.version >= fresh.version:
-            self._fresh_at = asked_at
-
-    def _receive_snapshot(self, message: messages.ConfigSnapshot) -> None:
-        if message.part == 0:
-            self._parts = []
-        self._parts += message.objects
-        if message.part + 1 < message.parts or (
-            message.version < self.view.version
-        ):
-            return
-        objects: dict[str, bytes] = {}
-        for data in self._parts:
-            objects[schema.object_id(schema.parse_json(data))] = data
-        self._parts = []
-        self._install(message.version, objects)
-
-    def _receive_delta(self, message: messages.ConfigDelta) -> None:
-        if message.version <= self.view.version:
-            return
-        if message.base != self.view.version:
-            self._watched = ""
-            raise errors.ProtocolError(
-                f"delta from {message.base}, have {self.view.version}",
-                step="apply delta",
+                match action:
+                    case subscription.Leave(member=member):
+                        _LOG.info("leaving member %s", member)
+                        link = self.peers[member].connection
+                        if link is not None:
+                            link.abort()
+                    case subscription.Subscribe(member=member):
+                        self._spawn(self._subscribe(member))
+                    case subscription.Probe():
+                        self._spawn(self._probe(action))
+            await asyncio.sleep(_TICK_S)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _subscribe(self, member: str) -> None:
+        version = self.view.version
+        try:
+            await self.peers[member].request(
+                messages.Watch(
+                    subscriber=self.identity.node,
+                    role=self.identity.role,
+                    version=version,
+                ),
+                messages.Ack,
+                timeout=subscription.SWITCH_AFTER_S,
             )
-        change = delta.Delta(
-            upserts={
-                schema.object_id(schema.parse_json(data)): data
-                for data in message.upserts
-            },
-            deletes=message.deletes,
-        )
-        self._install(message.version, change.apply(self._objects))
-
-    def _install(self, version: int, objects: dict[str, bytes]) -> None:
-        self._parsed = {
-            object_id: (
-                self._parsed[object_id]
-                if self._objects.get(object_id) == data
-                else schema.parse_json(data)
+        except errors.MonsoonhingeError as error:
+            _LOG.debug("cannot watch %s: %s", member, error)
+            self._subscription.subscribe_failed(
+                member, asyncio.get_running_loop().time()
             )
-            for object_id, data in objects.items()
-        }
-        self._objects = objects
-        self.view = config_view.View(version=version, objects=self._parsed)
-        if self._listener is not None:
-            self._listener.config_changed(self.view)
+
+    async def _probe(self, probe: subscription.Probe) -> None:
+        try:
+            fresh = await self.peers[probe.member].request(
+                messages.Probe(),
+                messages.Fresh,
+                timeout=subscription.SWITCH_AFTER_S,
+            )
+        except errors.MonsoonhingeError as error:
+            _LOG.debug("probe of %s failed: %s", probe.member, error)
+            self._subscription.probe_failed(probe.asked_at)
+        else:
+            self._subscription.answered(probe.asked_at, fresh.version)
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -54,13 +54,17 @@
 
 @dataclasses.dataclass(slots=True)
 class VoteRequest:
-    """Asks for a vote; ``pre_vote`` asks without changing any term."""
+    """Asks for a vote; ``pre_vote`` asks without changing any term.
+
+    ``transfer`` marks an election that the leader itself asked for.
+    """
 
     term: int = 0
     candidate: str = ""
     last_index: int = 0
     last_term: int = 0
     pre_vote: bool = False
+    transfer: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -420,6 +424,64 @@
     retry_after_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class TimeoutNow:
+    """The leader asks a member to start an election at once."""
+
+    term: int = 0
+    leader: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class SubscriberState:
+    """A subscriber of a control member and the version it has in effect.
+
+    ``session`` is its node and incarnation as ``node/incarnation``.
+    """
+
+    session: str = ""
+    role: str = ""
+    version: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RelayProbe:
+    """Probe relayed to the leader with the subscribers that probed."""
+
+    subscribers: list[SubscriberState] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class DescribeMember:
+    """Asks a control member for its identity."""
+
+
+@dataclasses.dataclass(slots=True)
+class MemberDescription:
+    """Identity of a control member; ``founded`` once it is in a cluster."""
+
+    name: str = ""
+    identity: str = ""
+    founded: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class AddMember:
+    """Adds the control member at an address, first as a learner."""
+
+    name: str = ""
+    host: str = ""
+    port: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RemoveMember:
+    """Removes a control member; ``force`` skips the live-quorum check."""
+
+    name: str = ""
+    force: bool = False
+
+
 Message = (
     Hello
     | HelloProof
@@ -452,4 +514,10 @@
     | Verdict
     | GrantRequest
     | Grant
+    | TimeoutNow
+    | RelayProbe
+    | DescribeMember
+    | MemberDescription
+    | AddMember
+    | RemoveMember
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -37,6 +37,7 @@
   lastIndex @2 :UInt64;
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
+  transfer @5 :Bool;
 }
 
 struct VoteReply {
@@ -264,6 +265,41 @@
   retryAfterMs @4 :Int64;
 }
 
+struct TimeoutNow {
+  term @0 :UInt64;
+  leader @1 :Text;
+}
+
+struct SubscriberState {
+  session @0 :Text;
+  role @1 :Text;
+  version @2 :UInt64;
+}
+
+struct RelayProbe {
+  subscribers @0 :List(SubscriberState);
+}
+
+struct DescribeMember {
+}
+
+struct MemberDescription {
+  name @0 :Text;
+  identity @1 :Text;
+  founded @2 :Bool;
+}
+
+struct AddMember {
+  name @0 :Text;
+  host @1 :Text;
+  port @2 :UInt16;
+}
+
+struct RemoveMember {
+  name @0 :Text;
+  force @1 :Bool;
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -300,6 +336,12 @@
     verdict @30 :Verdict;
     grantRequest @31 :GrantRequest;
     grant @32 :Grant;
+    timeoutNow @33 :TimeoutNow;
+    relayProbe @34 :RelayProbe;
+    describeMember @35 :DescribeMember;
+    memberDescription @36 :MemberDescription;
+    addMember @37 :AddMember;
+    removeMember @38 :RemoveMember;
   }
 }
 
--- /dev/null
+++ b/tests/control/test_subscription.py
@@ -0,0 +1,344 @@
+"""Tests of the watch with lost, repeated and crossed messages."""
+
+import json
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from monsoonhinge.config import delta
+from monsoonhinge.config import schema
+from monsoonhinge.control import leader
+from monsoonhinge.control import replica
+from monsoonhinge.control import subscription
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+
+_NAMES = ("a", "b", "c")
+
+
+def _object(name: int, version: int) -> bytes:
+    team = schema.Team(
+        name=str(name), tokens_per_s=1.0, burst_tokens=version + 1
+    )
+    return schema.canonical(team)
+
+
+def _content(version: int) -> dict[str, bytes]:
+    """Returns the content of a version; each changes or deletes an object."""
+    latest = {changed % 5: changed for changed in range(1, version + 1)}
+    return {
+        f"team/{name}": _object(name, changed)
+        for name, changed in latest.items()
+        if changed % 4
+    }
+
+
+class Member:
+    """A control member that may lag and its channel to the subscriber."""
+
+    def __init__(self) -> None:
+        self.version = 3
+        self.watching = False
+        self.silent = False
+        self.channel: list[replica.Push] = []
+
+    def watch(self, version: int) -> None:
+        self.watching = True
+        if version == self.version:
+            return
+        parts = [[item] for item in _content(self.version).values()] or [[]]
+        for number, part in enumerate(parts):
+            self.channel.append(
+                messages.ConfigSnapshot(
+                    version=self.version,
+                    part=number,
+                    parts=len(parts),
+                    objects=part,
+                )
+            )
+
+    def apply(self, version: int) -> None:
+        while self.version < version:
+            change = delta.Delta.between(
+                _content(self.version), _content(self.version + 1)
+            )
+            self.version += 1
+            if self.watching:
+                self.channel.append(
+                    messages.ConfigDelta(
+                        base=self.version - 1,
+                        version=self.version,
+                        upserts=list(change.upserts.values()),
+                        deletes=change.deletes,
+                    )
+                )
+
+
+class World:
+    """Members, a subscriber and the time."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = 0.0
+        self.committed = 3
+        self.commit_times = [-1.0] * 4
+        self.members = {name: Member() for name in _NAMES}
+        self.connected = set(_NAMES)
+        self.replies: list[tuple[float, int]] = []
+        self.subject = subscription.Subscription(
+            members=_NAMES, rng=random.Random(seed)
+        )
+
+    def tick(self, seconds: float) -> None:
+        self.now += seconds
+        for action in self.subject.tick(self.now, self.connected):
+            member = self.members[action.member]
+            match action:
+                case subscription.Leave():
+                    member.watching = False
+                    member.channel.clear()
+                case subscription.Subscribe() if not member.silent:
+                    member.watch(self.subject.replica.view.version)
+                case subscription.Probe() if not member.silent:
+                    self.replies.append((action.asked_at, self.committed))
+
+    def commit(self) -> None:
+        self.committed += 1
+        self.commit_times.append(self.now)
+
+    def deliver(self, name: str, fault: str) -> None:
+        channel = self.members[name].channel
+        if not channel:
+            return
+        message = channel.pop(0)
+        if fault == "lose":
+            return
+        if fault == "repeat":
+            channel.insert(0, message)
+        if fault == "cross" and channel:
+            channel.insert(1, message)
+            message = channel.pop(0)
+        before = self.subject.replica.view.version
+        try:
+            installed = self.subject.receive(name, message)
+        except errors.ProtocolError:
+            installed = False
+        assert installed == (self.subject.replica.view.version > before)
+        self.check(before)
+
+    def answer(self) -> None:
+        if self.replies:
+            self.subject.answered(*self.replies.pop(0))
+            self.check(self.subject.replica.view.version)
+
+    def check(self, before: int) -> None:
+        view = self.subject.replica.view
+        assert view.version >= before
+        assert {
+            key: schema.canonical(item) for key, item in view.objects.items()
+        } == _content(view.version)
+        fresh_at = self.subject.fresh_at
+        if fresh_at is not None:
+            known = sum(when < fresh_at for when in self.commit_times[1:])
+            assert view.version >= known
+
+
+_EVENT = st.one_of(
+    st.tuples(st.just("tick"), st.sampled_from([0.05, 0.5, 2.0])),
+    st.tuples(st.just("commit"), st.sampled_from(["", "a", "abc", "abc"])),
+    st.tuples(
+        st.just("deliver"),
+        st.sampled_from(["", "", "", "", "lose", "repeat", "cross"]),
+    ),
+    st.tuples(st.just("answer"), st.none()),
+    st.tuples(st.just("silence"), st.sampled_from(_NAMES)),
+    st.tuples(st.just("disconnect"), st.sampled_from(_NAMES)),
+)
+
+
+@given(st.integers(0, 5), st.lists(_EVENT, max_size=60))
+@settings(max_examples=250)
+def test_copy_is_true_and_catches_up(
+    seed: int, events: list[tuple[str, object]]
+) -> None:
+    """Guards against a mixed or older version and against false freshness."""
+    world = World(seed)
+    world.tick(0.05)
+    for kind, value in events:
+        match kind, value:
+            case "tick", float(seconds):
+                world.tick(seconds)
+            case "commit", str(names):
+                world.commit()
+                for name in names:
+                    world.members[name].apply(world.committed)
+            case "deliver", str(fault):
+                for name in _NAMES:
+                    world.deliver(name, fault)
+            case "answer", _:
+                world.answer()
+            case "silence", str(name):
+                world.members[name].silent ^= True
+            case "disconnect", str(name):
+                world.connected ^= {name}
+                world.members[name].watching = False
+                world.members[name].channel.clear()
+    # One member works again; the others stay as they are.
+    working = world.members["a"]
+    working.silent = False
+    world.connected.add("a")
+    working.apply(world.committed)
+    for _ in range(400):
+        world.tick(0.05)
+        while world.replies:
+            world.answer()
+        for name in _NAMES:
+            while world.members[name].channel:
+                world.deliver(name, "")
+    assert world.subject.replica.view.version == world.committed
+    # A member that neither lags nor is silent is probed twice a second.
+    assert world.subject.staleness(world.now) < subscription.SWITCH_AFTER_S
+
+
+def test_silent_member_is_left_in_time() -> None:
+    """Guards against a subscriber that stays with a partitioned member."""
+    world = World(0)
+    world.tick(0.05)
+    first = world.subject.watched
+    while world.members[first].channel:
+        world.deliver(first, "")
+    world.answer()
+    world.members[first].silent = True
+    while world.subject.watched == first:
+        world.tick(0.05)
+        assert world.now < subscription.SWITCH_AFTER_S + 0.3
+    second = world.subject.watched
+    while world.members[second].channel:
+        world.deliver(second, "")
+    world.tick(0.05)
+    world.answer()
+    assert world.subject.staleness(world.now) < 0.2
+    # With another silent member the third one is chosen, not the first.
+    world.members[second].silent = True
+    while world.subject.watched == second:
+        world.tick(0.05)
+    assert world.subject.watched not in (first, second)
+
+
+def test_invalid_object_changes_nothing() -> None:
+    """Guards against a configuration that is applied in part."""
+    subject = replica.Replica()
+    subject.receive(
+        messages.ConfigSnapshot(
+            version=1, parts=1, objects=[_object(0, 1), _object(1, 1)]
+        )
+    )
+    before = subject.view
+    objects = dict(before.objects)
+    bad = json.dumps({"kind": "team", "name": "x"}).encode()
+    with pytest.raises(errors.ProtocolError):
+        subject.receive(
+            messages.ConfigDelta(
+                base=1, version=2, upserts=[_object(2, 2), bad]
+            )
+        )
+    assert subject.view is before
+    assert subject.view.objects == objects
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["redirect", "fail"]),
+            st.sampled_from([*_NAMES, "", "elsewhere"]),
+        ),
+        max_size=20,
+    )
+)
+def test_leader_guess_always_reaches_the_leader(
+    history: list[tuple[str, str]],
+) -> None:
+    """Guards against a request that circles among members that do not lead."""
+    guess = leader.LeaderGuess(members=_NAMES, rng=random.Random(1))
+    for kind, name in history:
+        asked = guess.member(_NAMES)
+        if kind == "redirect":
+            guess.redirected(asked, name)
+        else:
+            guess.failed(asked)
+    asked = []
+    for _ in range(len(_NAMES) + 1):
+        asked.append(guess.member(_NAMES))
+        guess.failed(asked[-1])
+    assert set(asked) == set(_NAMES)
+
+
+def test_redirects_between_two_members_are_slowed() -> None:
+    """Guards against two members that keep a client busy with redirects."""
+    backoff = leader.Backoff(random.Random(1))
+    delays = [backoff.after_redirect() for _ in range(10)]
+    assert delays[:2] == [0, 0]
+    assert sum(delays) > 0.3
+
+
+def _part(version: int, part: int, parts: int) -> messages.ConfigSnapshot:
+    objects = list(_content(version).values())
+    return messages.ConfigSnapshot(
+        version=version, part=part, parts=parts, objects=objects[part::parts]
+    )
+
+
+def _delta(base: int, version: int) -> messages.ConfigDelta:
+    change = delta.Delta.between(_content(base), _content(version))
+    return messages.ConfigDelta(
+        base=base,
+        version=version,
+        upserts=list(change.upserts.values()),
+        deletes=change.deletes,
+    )
+
+
+@pytest.mark.parametrize(
+    ("received", "version"),
+    [
+        ([_part(7, 0, 1), _part(3, 0, 1)], 7),  # member that lags
+        ([_part(7, 0, 3), _part(7, 2, 3), _part(7, 1, 3)], 0),  # crossed
+        ([_part(7, 0, 3), _part(7, 2, 3), _part(7, 2, 3)], 0),  # lost part
+        ([_part(7, 0, 2), _part(6, 1, 2)], 0),  # parts of two versions
+        ([_part(7, 0, 2), _delta(7, 9), _part(7, 1, 2)], 9),  # delta between
+        ([_part(7, 0, 2), _delta(6, 7), _part(7, 1, 2)], 7),
+        ([_part(7, 0, 1), _delta(8, 9)], 7),  # lost delta
+        ([_part(7, 0, 1), _delta(7, 9), _delta(7, 8)], 9),
+    ],
+)
+def test_order_of_parts_and_deltas(
+    received: list[replica.Push], version: int
+) -> None:
+    """Guards against a version that is older or made of wrong parts."""
+    world = World(0)
+    world.tick(0.05)
+    name = world.subject.watched
+    other = next(other for other in _NAMES if other != name)
+    world.members[other].channel = [_part(9, 0, 1)]
+    world.deliver(other, "")
+    world.members[name].channel = received
+    while received:
+        world.deliver(name, "")
+    assert world.subject.replica.view.version == version
+
+
+def test_gap_leads_to_a_new_subscription() -> None:
+    """Guards against a subscriber that stays behind after a lost delta."""
+    world = World(0)
+    world.tick(0.05)
+    name = world.subject.watched
+    world.members[name].channel = [_part(3, 0, 1), _delta(4, 5)]
+    world.members[name].version = 5
+    world.deliver(name, "")
+    world.deliver(name, "")
+    world.tick(1.0)
+    while world.members[name].channel:
+        world.deliver(name, "")
+    assert world.subject.replica.view.version == 5
