--- a/src/monsoonhinge/config/schema.py
+++ b/src/monsoonhinge/config/schema.py
@@ -8,20 +8,38 @@
 Name = Annotated[
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
 ]
-Positive = Annotated[int, pydantic.Field(gt=0)]
-PositiveFloat = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
-Weight = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 
+# Numbers stay exact in JSON documents and within the fields of messages.
+MAX_INTEGER = 2**53
+MAX_NUMBER = 1e12
+
+Positive = Annotated[int, pydantic.Field(gt=0, le=MAX_INTEGER)]
+NotNegative = Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
+PositiveFloat = Annotated[
+    float, pydantic.Field(gt=0, le=MAX_NUMBER, allow_inf_nan=False)
+]
+Weight = Annotated[
+    float, pydantic.Field(ge=0, le=MAX_NUMBER, allow_inf_nan=False)
+]
+
+
+class Part(pydantic.BaseModel):
+    """Base of all parts of objects; unknown fields are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
 
-class Object(pydantic.BaseModel):
-    """Base of all objects; unknown fields are errors."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+class Object(Part):
+    """Base of all objects.
+
+    Attributes:
+        name: Name of the object; unique among the objects of its kind.
+    """
 
     name: Name
 
 
-class ModelVersion(pydantic.BaseModel):
+class ModelVersion(Part):
     """One version of a model's checkpoint.
 
     Attributes:
@@ -30,8 +48,6 @@
         load_s: Load time from the weight store at full speed, in seconds.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
     version: Name
     weights_bytes: Positive
     load_s: PositiveFloat
@@ -51,11 +67,13 @@
     """
 
     kind: Literal["model"] = "model"
-    versions: Annotated[list[ModelVersion], pydantic.Field(min_length=1)]
+    versions: Annotated[
+        list[ModelVersion], pydantic.Field(min_length=1, max_length=32)
+    ]
     current: Name
-    kv_bytes_per_replica: Annotated[int, pydantic.Field(ge=0)]
-    adapter_slot_bytes: Annotated[int, pydantic.Field(ge=0)] = 0
-    min_replicas: Annotated[int, pydantic.Field(ge=0)] = 0
+    kv_bytes_per_replica: NotNegative
+    adapter_slot_bytes: NotNegative = 0
+    min_replicas: NotNegative = 0
     max_replicas: Positive = 1
     max_concurrency: Positive = 16
 
@@ -128,21 +146,24 @@
     model: Name | None = None
     adapter: Name | None = None
     service: Name | None = None
-    teams: list[Name] = []
+    teams: Annotated[list[Name], pydantic.Field(max_length=1_000)] = []
     open_team: Name | None = None
     max_timeout_s: PositiveFloat = 60.0
     max_body_bytes: Positive = 1024 * 1024
     max_output_tokens: Positive = 256
-    priority: int = 0
+    priority: Annotated[int, pydantic.Field(ge=-1_000, le=1_000)] = 0
 
 
-class NonRepeatable(pydantic.BaseModel):
-    """Calls of a service that run at most once."""
+class NonRepeatable(Part):
+    """Calls of a service that run at most once.
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    Attributes:
+        method: HTTP method in capitals.
+        path_prefix: Start of the paths below the service.
+    """
 
-    method: Annotated[str, pydantic.Field(pattern=r"^[A-Z]+$")]
-    path_prefix: Annotated[str, pydantic.Field(pattern=r"^/")]
+    method: Annotated[str, pydantic.Field(pattern=r"^[A-Z]{1,16}$")]
+    path_prefix: Annotated[str, pydantic.Field(pattern=r"^/", max_length=1_024)]
 
 
 class Service(Object):
@@ -155,11 +176,13 @@
     """
 
     kind: Literal["service"] = "service"
-    non_repeatable: list[NonRepeatable] = []
+    non_repeatable: Annotated[
+        list[NonRepeatable], pydantic.Field(max_length=64)
+    ] = []
     max_recorded_answer_bytes: Annotated[
         int, pydantic.Field(gt=0, le=1024 * 1024)
     ] = 64 * 1024
-    call_tokens: Annotated[int, pydantic.Field(ge=0)] = 1
+    call_tokens: NotNegative = 1
 
 
 class Store(Object):
--- a/src/monsoonhinge/config/validate.py
+++ b/src/monsoonhinge/config/validate.py
@@ -1,15 +1,22 @@
 """Checks a whole set of objects and reports all errors at once."""
 
-from collections.abc import Iterable, Mapping
-import hashlib
+from collections.abc import Collection, Iterable, Mapping
 import json
 from typing import Any
 
 import pydantic
 
+from monsoonhinge.config import digest as config_digest
 from monsoonhinge.config import schema
 from monsoonhinge.runtime import errors
 
+MAX_OBJECTS = 50_000
+
+# A publication has to fit one frame of 8 MiB; each object costs up to this
+# much beside its JSON text.
+MAX_SET_BYTES = 7680 * 1024
+_OBJECT_OVERHEAD_BYTES = 24
+
 
 class ObjectError(errors.MonsoonhingeError):
     """One error in a set of objects.
@@ -37,58 +44,83 @@
     Raises:
         ExceptionGroup: Of ObjectError, one for each error found.
     """
+    objects, problems = _parse_all(documents)
+    if problems:
+        raise ExceptionGroup("invalid configuration", problems)
+    return objects
+
+
+def _parse_all(
+    documents: Any,
+) -> tuple[dict[str, schema.AnyObject], list[ObjectError]]:
     if not isinstance(documents, list):
-        raise ExceptionGroup(
-            "invalid configuration",
-            [_error("objects", "", "must be a list of objects")],
-        )
+        return {}, [_error("objects", "", "must be a list of objects")]
+    if len(documents) > MAX_OBJECTS:
+        return {}, [_error("objects", "", f"more than {MAX_OBJECTS} objects")]
     problems: list[ObjectError] = []
     objects: dict[str, schema.AnyObject] = {}
+    invalid: set[str] = set()
     for position, document in enumerate(documents):
         try:
             item = schema.parse(document)
         except pydantic.ValidationError as error:
             problems += _parse_errors(position, document, error)
+            if isinstance(document, dict):
+                invalid.add(f"{document.get('kind')}/{document.get('name')}")
             continue
         object_id = schema.object_id(item)
         if object_id in objects:
             problems.append(_error(object_id, "name", "is defined twice"))
         objects[object_id] = item
-    problems += check(objects)
-    if problems:
-        raise ExceptionGroup("invalid configuration", problems)
-    return objects
+    return objects, problems + check(objects, invalid=invalid)
 
 
-def check(objects: Mapping[str, schema.AnyObject]) -> list[ObjectError]:
-    """Returns all errors in the references and values of a set."""
+def check(
+    objects: Mapping[str, schema.AnyObject],
+    *,
+    invalid: Collection[str] = (),
+) -> list[ObjectError]:
+    """Returns all errors in the references and values of a set.
+
+    Args:
+        objects: Valid objects by id.
+        invalid: Ids of objects that exist but have errors of their own.
+
+    References cannot form a cycle: routes refer to models, adapters, services
+    and teams, adapters to models, keys to teams, and nothing to routes.
+    """
     problems: list[ObjectError] = []
     for object_id, item in objects.items():
-        for field, target in _references(item):
-            if target not in objects:
-                problems.append(
-                    _error(object_id, field, f"{target} does not exist")
-                )
+        problems += [
+            _error(object_id, field, f"{target} does not exist")
+            for field, target in _references(item)
+            if target not in objects and target not in invalid
+        ]
         problems += [
             _error(object_id, field, reason)
-            for field, reason in _value_problems(item)
+            for field, reason in _value_problems(item, objects)
         ]
+    problems += _hash_problems(objects)
     for kind in ("store", "policy"):
         count = sum(item.kind == kind for item in objects.values())
         if count > 1:
             problems.append(
                 _error(kind, "", f"at most one object, found {count}")
             )
+    size = sum(
+        len(schema.canonical(item)) + _OBJECT_OVERHEAD_BYTES
+        for item in objects.values()
+    )
+    if size > MAX_SET_BYTES:
+        problems.append(
+            _error("objects", "", f"{size} bytes exceed {MAX_SET_BYTES}")
+        )
     return problems
 
 
 def digest(objects: Iterable[schema.AnyObject]) -> bytes:
     """Returns the SHA-256 over the canonical objects, in any order."""
-    total = hashlib.sha256()
-    for data in sorted(schema.canonical(item) for item in objects):
-        total.update(len(data).to_bytes(8, "big"))
-        total.update(data)
-    return total.digest()
+    return config_digest.digest(schema.canonical(item) for item in objects)
 
 
 def _references(item: schema.AnyObject) -> list[tuple[str, str]]:
@@ -111,28 +143,80 @@
             return []
 
 
-def _value_problems(item: schema.AnyObject) -> list[tuple[str, str]]:
-    problems: list[tuple[str, str]] = []
+def _value_problems(
+    item: schema.AnyObject, objects: Mapping[str, schema.AnyObject]
+) -> list[tuple[str, str]]:
     match item:
         case schema.Model():
-            names = [version.version for version in item.versions]
-            if item.current not in names:
-                problems.append(("current", f"{item.current} is no version"))
-            if len(set(names)) != len(names):
-                problems.append(("versions", "a version is defined twice"))
-            if item.min_replicas > item.max_replicas:
-                problems.append(("min_replicas", "exceeds max_replicas"))
+            return _model_problems(item)
+        case schema.Adapter():
+            return _adapter_problems(item, objects)
         case schema.Route():
-            named = [item.model, item.adapter, item.service]
-            if sum(name is not None for name in named) != 1:
+            return _route_problems(item)
+        case schema.Service():
+            calls = [
+                (call.method, call.path_prefix) for call in item.non_repeatable
+            ]
+            if len(set(calls)) != len(calls):
+                return [("non_repeatable", "an entry is repeated")]
+        case schema.Policy() if item.min_keep_s > item.max_keep_s:
+            return [("min_keep_s", "exceeds max_keep_s")]
+    return []
+
+
+def _model_problems(item: schema.Model) -> list[tuple[str, str]]:
+    problems: list[tuple[str, str]] = []
+    names = [version.version for version in item.versions]
+    if item.current not in names:
+        problems.append(("current", f"{item.current} is no version"))
+    if len(set(names)) != len(names):
+        problems.append(("versions", "a version is defined twice"))
+    if item.min_replicas > item.max_replicas:
+        problems.append(("min_replicas", "exceeds max_replicas"))
+    return problems
+
+
+def _adapter_problems(
+    item: schema.Adapter, objects: Mapping[str, schema.AnyObject]
+) -> list[tuple[str, str]]:
+    problems: list[tuple[str, str]] = []
+    if f"model/{item.name}" in objects:
+        # Engines find models and adapters under one name.
+        problems.append(("name", f"model/{item.name} has the same name"))
+    model = objects.get(f"model/{item.model}")
+    if isinstance(model, schema.Model) and (
+        0 < model.adapter_slot_bytes < item.bytes
+    ):
+        problems.append(
+            ("bytes", f"exceeds adapter_slot_bytes of model/{item.model}")
+        )
+    return problems
+
+
+def _route_problems(item: schema.Route) -> list[tuple[str, str]]:
+    problems: list[tuple[str, str]] = []
+    named = [item.model, item.adapter, item.service]
+    if sum(name is not None for name in named) != 1:
+        problems.append(("model", "name exactly one model, adapter or service"))
+    if not item.teams and item.open_team is None:
+        problems.append(("teams", "no team may use the route"))
+    if len(set(item.teams)) != len(item.teams):
+        problems.append(("teams", "a team is repeated"))
+    return problems
+
+
+def _hash_problems(
+    objects: Mapping[str, schema.AnyObject],
+) -> list[ObjectError]:
+    owners: dict[str, str] = {}
+    problems: list[ObjectError] = []
+    for object_id, item in objects.items():
+        if isinstance(item, schema.Key):
+            owner = owners.setdefault(item.hash, object_id)
+            if owner != object_id:
                 problems.append(
-                    ("model", "name exactly one model, adapter or service")
+                    _error(object_id, "hash", f"is that of {owner}")
                 )
-            if not item.teams and item.open_team is None:
-                problems.append(("teams", "no team may use the route"))
-        case schema.Policy():
-            if item.min_keep_s > item.max_keep_s:
-                problems.append(("min_keep_s", "exceeds max_keep_s"))
     return problems
 
 
@@ -143,17 +227,33 @@
     if isinstance(document, dict):
         kind, label = document.get("kind"), document.get("name")
         if isinstance(kind, str) and isinstance(label, str):
-            name = f"{kind}/{label}"
+            name = f"{name} {_printable(kind)}/{_printable(label)}"
     return [
         _error(
             name,
-            ".".join(str(part) for part in detail["loc"][1:]),
-            detail["msg"],
+            _printable(".".join(str(part) for part in detail["loc"][1:])),
+            _printable(detail["msg"], limit=512),
         )
         for detail in error.errors(include_input=False, include_url=False)
     ]
 
 
+def _printable(text: str, *, limit: int = 128) -> str:
+    """Returns text that is safe and short enough for a terminal."""
+    safe = text if text.isprintable() else ascii(text)
+    return safe if len(safe) <= limit else f"{safe[:limit]}..."
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Makes a JSON object; a repeated field would silently win."""
+    result = dict(pairs)
+    if len(result) != len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"field {_printable(repeated)} is repeated")
+    return result
+
+
 def _error(object_id: str, field: str, reason: str) -> ObjectError:
     return ObjectError(object_id=object_id, field=field, reason=reason)
 
@@ -168,8 +268,8 @@
         ExceptionGroup: Of ObjectError, one for each error found.
     """
     try:
-        document = json.loads(text)
-    except ValueError as error:
+        document = json.loads(text, object_pairs_hook=_unique)
+    except (ValueError, RecursionError) as error:
         raise ExceptionGroup(
             "invalid configuration",
             [_error("file", "", f"not valid JSON: {error}")],
@@ -179,21 +279,15 @@
             "invalid configuration", [_error("file", "", "must be an object")]
         )
     problems = [
-        _error("file", field, "unknown field")
-        for field in document.keys() - {"version", "objects"}
+        _error("file", _printable(field), "unknown field")
+        for field in document
+        if field not in ("version", "objects")
     ]
     version = document.get("version")
-    if type(version) is not int or version < 1:
+    if type(version) is not int or not 1 <= version <= schema.MAX_INTEGER:
         problems.append(_error("file", "version", "must be a positive integer"))
-    objects: dict[str, schema.AnyObject] = {}
-    try:
-        objects = parse_set(document.get("objects"))
-    except* ObjectError as group:
-        problems += [
-            error
-            for error in group.exceptions
-            if isinstance(error, ObjectError)
-        ]
+    objects, found = _parse_all(document.get("objects"))
+    problems += found
     problems += [
         _error(object_id, "", "keys are changed by key grant and key withdraw")
         for object_id, item in objects.items()
--- a/src/monsoonhinge/control/state/configuration.py
+++ b/src/monsoonhinge/control/state/configuration.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 import dataclasses
-import hashlib
 import json
 from typing import Any
 
+from monsoonhinge.config import digest as config_digest
 from monsoonhinge.control.state import rows
 from monsoonhinge.protocol import commands
 
@@ -54,7 +54,7 @@
             objects = _by_id(command.objects)
         except ValueError as error:
             return self.invalid(str(error))
-        if digest(command.objects) != command.digest:
+        if config_digest.digest(command.objects) != command.digest:
             return self.invalid("the digest does not match the objects")
         for object_id, data in self.objects.items():
             if object_id.startswith("key/"):
@@ -150,15 +150,6 @@
         )
 
 
-def digest(objects: list[bytes]) -> bytes:
-    """Returns the SHA-256 over canonical objects, in any order."""
-    total = hashlib.sha256()
-    for data in sorted(objects):
-        total.update(len(data).to_bytes(8, "big"))
-        total.update(data)
-    return total.digest()
-
-
 def _by_id(objects: list[bytes]) -> dict[str, bytes]:
     result: dict[str, bytes] = {}
     for data in objects:
--- a/src/monsoonhinge/control/state/keys.py
+++ b/src/monsoonhinge/control/state/keys.py
@@ -9,7 +9,7 @@
 from monsoonhinge.control.state import rows
 from monsoonhinge.protocol import commands
 
-# A whole configuration with this many keys fits one frame of a state reply.
+# Bounds the part of the configuration that no publication accounts for.
 MAX_KEYS = 5_000
 
 
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -44,7 +44,18 @@
 
 
 class Process(Strict):
-    """Settings that every process has."""
+    """Settings that every process has.
+
+    Attributes:
+        node: Name of the process; unique in the cluster.
+        vm: VM on which it runs.
+        region: Region of the VM.
+        availability_zone: Availability zone of the VM.
+        operations: Address of the operations HTTP server.
+        cluster_secret: Secret that all processes share.
+        log_level: Lowest level that is logged.
+        drain_timeout_s: Longest graceful stop, in seconds.
+    """
 
     node: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
     vm: str = ""
@@ -106,7 +117,14 @@
 
 
 class Operator(Strict):
-    """Settings of the ``monsoonhinge`` command line."""
+    """Settings of the ``monsoonhinge`` command line.
+
+    Attributes:
+        control: Control members.
+        cluster_secret: Secret that all processes share.
+        key_secret: Secret under which caller keys are hashed.
+        operator: Name under which changes are made.
+    """
 
     control: Annotated[list[Member], pydantic.Field(min_length=1)]
     cluster_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
@@ -130,7 +148,7 @@
         raise errors.SettingsError(
             [f"cannot read: {error.strerror}"], peer=str(path)
         ) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.SettingsError(
             [f"not valid JSON: {error}"], peer=str(path)
         ) from error
@@ -139,8 +157,17 @@
     except pydantic.ValidationError as error:
         # The rejected input is left out since it may be a secret.
         problems = [
-            f"{'.'.join(str(part) for part in detail['loc']) or 'settings'}: "
-            f"{detail['msg']}"
+            f"{_field(detail['loc'])}: {detail['msg']}"
             for detail in error.errors(include_input=False, include_url=False)
         ]
         raise errors.SettingsError(problems, peer=str(path)) from None
+
+
+def _field(location: tuple[int | str, ...]) -> str:
+    """Returns the path of a field in characters that any terminal shows."""
+    path = ".".join(str(part) for part in location) or "settings"
+    return _printable(path)
+
+
+def _printable(text: str) -> str:
+    return text if text.isprintable() else ascii(text)
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from monsoonhinge.config import digest
 from monsoonhinge.control import client as control_client
 from monsoonhinge.control import keeper
-from monsoonhinge.control.state import configuration
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
 from monsoonhinge.runtime import errors
@@ -26,7 +26,7 @@
     objects = [json.dumps(document).encode()]
     return commands.PublishConfig(
         version=version,
-        digest=configuration.digest(objects),
+        digest=digest.digest(objects),
         publisher="p",
         objects=objects,
     )
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from monsoonhinge.config import digest
 from monsoonhinge.control import machine
 from monsoonhinge.control.state import calls
 from monsoonhinge.control.state import configuration
@@ -40,7 +41,7 @@
     objects = _team_set(names)
     return commands.PublishConfig(
         version=version,
-        digest=configuration.digest(objects),
+        digest=digest.digest(objects),
         publisher=publisher,
         objects=objects,
     )
@@ -495,6 +496,27 @@
     assert list(table.decided) == ["b"]
 
 
+def test_budget_checkpoint_never_decreases() -> None:
+    """Guards against tokens created by a checkpoint that comes late."""
+    subject = Log()
+    subject.apply(commands.AcquireLease(name="budget/0", holder="h"))
+    kept = []
+    for granted, now_ms in ((5, 10), (4, 20), (5, 10), (6, 7)):
+        result = subject.apply(
+            commands.CheckpointBudget(
+                shard="budget/0",
+                fencing=1,
+                team="t",
+                granted=granted,
+                now_ms=now_ms,
+            )
+        )
+        assert isinstance(result, commands.Accepted)
+        latest = subject.machine.budgets["t"]
+        kept.append((result.accepted, latest.granted, latest.now_ms))
+    assert kept == [(True, 5, 10), (False, 5, 10), (True, 5, 10), (True, 6, 10)]
+
+
 def test_index_is_applied_once() -> None:
     """Guards against a fencing number that is given out twice."""
     subject = Log()
