--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -78,7 +78,7 @@
     @property
     def view(self) -> config_view.View:
         """Configuration in effect in this process."""
-        return self._subscription.replica.view
+        return self._subscription.mirror.view
 
     @property
     def watched(self) -> str:
--- a/src/monsoonhinge/control/replica.py
+++ b/src/monsoonhinge/control/mirror.py
@@ -25,7 +25,7 @@
     objects: list[bytes]
 
 
-class Replica:
+class Mirror:
     """Installs snapshots and deltas in order.
 
     Attributes:
--- a/src/monsoonhinge/control/subscription.py
+++ b/src/monsoonhinge/control/subscription.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from monsoonhinge.control import replica
+from monsoonhinge.control import mirror
 from monsoonhinge.runtime import errors
 
 PROBE_INTERVAL_S = 0.5
@@ -49,13 +49,13 @@
     All times are the subscriber's own monotonic time in seconds.
 
     Attributes:
-        replica: Configuration in effect.
+        mirror: Configuration in effect.
         watched: Member that is watched, or "".
         fresh_at: Everything committed before this time is in effect here.
     """
 
     def __init__(self, *, members: Sequence[str], rng: random.Random) -> None:
-        self.replica = replica.Replica()
+        self.mirror = mirror.Mirror()
         self.watched = ""
         self.fresh_at: float | None = None
         # Subscribers spread over the members by starting at random ones.
@@ -107,20 +107,20 @@
             actions.append(Probe(self.watched, now))
         return actions
 
-    def receive(self, member: str, message: replica.Push) -> bool:
+    def receive(self, member: str, message: mirror.Push) -> bool:
         """Takes a message that a member pushed.
 
         Returns:
             Whether a new version is in effect.
 
         Raises:
-            errors.ProtocolError: See ``Replica.receive``. The next tick
+            errors.ProtocolError: See ``Mirror.receive``. The next tick
                 subscribes again.
         """
         if member != self.watched or not self._subscribed:
             return False
         try:
-            installed = self.replica.receive(message)
+            installed = self.mirror.receive(message)
         except errors.ProtocolError:
             self._subscribed = False
             raise
@@ -148,7 +148,7 @@
             self._leave(now)
 
     def _settle_probes(self) -> None:
-        version = self.replica.view.version
+        version = self.mirror.view.version
         for asked_at, wanted in self._confirmed:
             if wanted <= version and (
                 self.fresh_at is None or asked_at > self.fresh_at
@@ -171,7 +171,7 @@
         self.watched = ""
         self._subscribed = False
         self._probes.clear()
-        self.replica.restart()
+        self.mirror.restart()
 
     def _choose(self, now: float, connected: Collection[str]) -> None:
         candidates = [name for name in self._order if name in connected]
--- a/tests/control/test_subscription.py
+++ b/tests/control/test_subscription.py
@@ -11,7 +11,7 @@
 from monsoonhinge.config import delta
 from monsoonhinge.config import schema
 from monsoonhinge.control import leader
-from monsoonhinge.control import replica
+from monsoonhinge.control import mirror
 from monsoonhinge.control import subscription
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
@@ -43,7 +43,7 @@
         self.version = 3
         self.watching = False
         self.silent = False
-        self.channel: list[replica.Push] = []
+        self.channel: list[mirror.Push] = []
 
     def watch(self, version: int) -> None:
         self.watching = True
@@ -100,7 +100,7 @@
                     member.watching = False
                     member.channel.clear()
                 case subscription.Subscribe() if not member.silent:
-                    member.watch(self.subject.replica.view.version)
+                    member.watch(self.subject.mirror.view.version)
                 case subscription.Probe() if not member.silent:
                     self.replies.append((action.asked_at, self.committed))
 
@@ -120,21 +120,21 @@
         if fault == "cross" and channel:
             channel.insert(1, message)
             message = channel.pop(0)
-        before = self.subject.replica.view.version
+        before = self.subject.mirror.view.version
         try:
             installed = self.subject.receive(name, message)
         except errors.ProtocolError:
             installed = False
-        assert installed == (self.subject.replica.view.version > before)
+        assert installed == (self.subject.mirror.view.version > before)
         self.check(before)
 
     def answer(self) -> None:
         if self.replies:
             self.subject.answered(*self.replies.pop(0))
-            self.check(self.subject.replica.view.version)
+            self.check(self.subject.mirror.view.version)
 
     def check(self, before: int) -> None:
-        view = self.subject.replica.view
+        view = self.subject.mirror.view
         assert view.version >= before
         assert {
             key: schema.canonical(item) for key, item in view.objects.items()
@@ -197,7 +197,7 @@
         for name in _NAMES:
             while world.members[name].channel:
                 world.deliver(name, "")
-    assert world.subject.replica.view.version == world.committed
+    assert world.subject.mirror.view.version == world.committed
     # A member that neither lags nor is silent is probed twice a second.
     assert world.subject.staleness(world.now) < subscription.SWITCH_AFTER_S
 
@@ -229,7 +229,7 @@
 
 def test_invalid_object_changes_nothing() -> None:
     """Guards against a configuration that is applied in part."""
-    subject = replica.Replica()
+    subject = mirror.Mirror()
     subject.receive(
         messages.ConfigSnapshot(
             version=1, parts=1, objects=[_object(0, 1), _object(1, 1)]
@@ -314,7 +314,7 @@
     ],
 )
 def test_order_of_parts_and_deltas(
-    received: list[replica.Push], version: int
+    received: list[mirror.Push], version: int
 ) -> None:
     """Guards against a version that is older or made of wrong parts."""
     world = World(0)
@@ -326,7 +326,7 @@
     world.members[name].channel = received
     while received:
         world.deliver(name, "")
-    assert world.subject.replica.view.version == version
+    assert world.subject.mirror.view.version == version
 
 
 def test_gap_leads_to_a_new_subscription() -> None:
@@ -341,4 +341,4 @@
     world.tick(1.0)
     while world.members[name].channel:
         world.deliver(name, "")
-    assert world.subject.replica.view.version == 5
+    assert world.subject.mirror.view.version == 5
