--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -421,7 +421,7 @@
   gateway @4 :Text;
   claimId @5 :Text;
   nowMs @6 :Int64;
-  limitBytes @7 :UInt64;
+  limitBytes @7 :Int64;
 }
 
 struct FinishCall {
