--- /dev/null
+++ b/src/monsoonhinge/scheduler/holder.py
@@ -0,0 +1,122 @@
+"""Holder of the token buckets: commits checkpoints and answers gateways."""
+
+import asyncio
+from typing import Any
+
+from monsoonhinge.config import view as config_view
+from monsoonhinge.control import client as control_client
+from monsoonhinge.protocol import commands
+from monsoonhinge.protocol import messages
+from monsoonhinge.scheduler import budget
+from monsoonhinge.scheduler import leases
+from monsoonhinge.scheduler import metrics
+
+SHARD = "budget/0"
+
+_COMMIT_TIMEOUT_S = 1.0
+_READ_TIMEOUT_S = 1.0
+
+
+class BudgetHolder:
+    """Grants tokens while it holds the lease of its shard.
+
+    Attributes:
+        lease: Lease of the shard.
+        budget: Token buckets, or None while the lease is not held.
+    """
+
+    def __init__(self, *, holder: str, control: control_client.Client) -> None:
+        self.lease = leases.LeaseKeeper(
+            name=SHARD, holder=holder, control=control
+        )
+        self.budget: budget.Budget | None = None
+        self._control = control
+        self._view = config_view.View()
+        self._commits: dict[str, asyncio.Lock] = {}
+
+    async def keep(self) -> None:
+        """Keeps the lease and loads the checkpoints after a new grant."""
+        await self.lease.keep()
+        if not self.lease.fencing:
+            self.budget = None
+            return
+        if self.budget is None or self.budget.fencing != self.lease.fencing:
+            fencing = self.lease.fencing
+            document = await self._control.read(
+                "budgets", timeout=_READ_TIMEOUT_S
+            )
+            self.budget = budget.Budget.from_checkpoints(
+                [
+                    commands.CheckpointBudget(**fields)
+                    for fields in document.values()
+                ],
+                shard=SHARD,
+                fencing=fencing,
+            )
+            self.configure(self._control.view)
+
+    def configure(self, view: config_view.View) -> None:
+        """Takes the teams of the configuration."""
+        self._view = view
+        if self.budget is not None and view.version:
+            self.budget.configure(view.teams, asyncio.get_running_loop().time())
+
+    async def release(self) -> None:
+        """Hands the shard over."""
+        self.budget = None
+        await self.lease.release()
+
+    async def grant(
+        self, request: messages.GrantRequest
+    ) -> messages.Grant | messages.Error:
+        """Answers a gateway once the log covers the tokens.
+
+        Raises:
+            errors.MonsoonhingeError: The checkpoint was not confirmed.
+        """
+        loop = asyncio.get_running_loop()
+        # One commit at a time keeps the checkpoints of a team in order.
+        async with self._commits.setdefault(request.team, asyncio.Lock()):
+            held = self.budget
+            if held is None or not self.lease.held(loop.time()):
+                return _not_holder()
+            checkpoint = held.checkpoint_needed(request, loop.time())
+            if checkpoint is not None:
+                result = await self._control.propose(
+                    checkpoint, commands.Accepted, timeout=_COMMIT_TIMEOUT_S
+                )
+                if not result.accepted:
+                    self.lease.lose()
+                    return _not_holder()
+                held.committed(checkpoint)
+            # The lease may have ended during the commit.
+            if self.budget is not held or not self.lease.held(loop.time()):
+                return _not_holder()
+            reply = held.grant(request, loop.time())
+        if reply.tokens:
+            metrics.GRANTED_TOKENS.labels(request.team).inc(reply.tokens)
+        elif request.wanted or request.waiting:
+            metrics.EMPTY_GRANTS.labels(request.team).inc()
+        return reply
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the buckets for operators."""
+        if self.budget is None:
+            return {}
+        return {
+            name: {
+                "level": bucket.level,
+                "granted": bucket.granted,
+                "committed": bucket.committed,
+                "outstanding": sum(
+                    issue.tokens for issue in bucket.issued.values()
+                ),
+            }
+            for name, bucket in self.budget.buckets.items()
+        }
+
+
+def _not_holder() -> messages.Error:
+    return messages.Error(
+        code="not_holder", message=f"{SHARD} is held elsewhere", step="grant"
+    )
--- a/src/monsoonhinge/scheduler/ledger.py
+++ b/src/monsoonhinge/scheduler/ledger.py
@@ -221,7 +221,7 @@
         return [
             replica
             for replica in self.replicas.values()
-            if replica.loaded_at is None and replica.state != "loaded"
+            if replica.state == "loading"
         ]
 
     def adapter_loads(self) -> list[AdapterMove]:
--- a/src/monsoonhinge/scheduler/planner.py
+++ b/src/monsoonhinge/scheduler/planner.py
@@ -69,11 +69,30 @@
         self, state: messages.TargetState, now: float
     ) -> replica_ledger.Observation:
         """Takes an announcement; the caller commits what it settles."""
+        returned = [
+            replica
+            for replica in self.ledger.on_target(state.target)
+            if replica.expired
+        ]
         observation = self.ledger.observe(state, now)
+        for replica in returned:
+            if replica.state == "loading" and not replica.expired:
+                self._resume(replica, now)
         for replica in observation.loaded:
             self.store.finish(replica.replica_id, loaded=True, now=now)
         return observation
 
+    def _resume(self, replica: replica_ledger.Replica, now: float) -> None:
+        """Counts a load again whose target was silent for a while."""
+        if replica.replica_id not in self.store.in_flight:
+            model = self._view.models.get(replica.change.model)
+            version = model.version() if model else None
+            self.store.restore(
+                replica.replica_id,
+                nominal_s=version.load_s if version else 0.0,
+                now=now,
+            )
+
     def settle(
         self, changes: Iterable[commands.ReplicaChange], now: float
     ) -> None:
--- a/tests/scheduler/scheduler_world.py
+++ b/tests/scheduler/scheduler_world.py
@@ -173,6 +173,7 @@
         self.book = demand.DemandBook()
         self.holders: list[Holder] = []
         self.started: list[float] = []
+        self.lapsed: set[str] = set()
         self.unloaded: list[tuple[float, str]] = []
         self._ids = itertools.count()
 
@@ -225,6 +226,11 @@
         if self.holders:
             self.active.core.expire(gone, self.now)
             self.active.core.expire_unheard(self.directory, self.now)
+            self.lapsed |= {
+                replica.replica_id
+                for replica in self.active.core.planner.ledger.loading()
+                if replica.expired
+            }
 
     def announce(self, target: Target, *, delay: float = 0.0) -> None:
         """Relays an announcement, possibly late and out of order."""
@@ -325,6 +331,21 @@
                 item.holder.core.orders.unknown(item.order.order_id, self.now)
         self.expire()
 
+    def loading(self) -> set[str]:
+        """Returns decided loads that their targets have not completed."""
+        result = set()
+        for change in self.log.decisions.values():
+            target = self.targets[change.target]
+            replica = target.replicas.get(change.decision_id)
+            if (
+                change.action == "load"
+                and change.incarnation == target.incarnation
+                and change.decision_id not in target.outcomes
+                and (replica is None or replica.state == "loading")
+            ):
+                result.add(change.decision_id)
+        return result
+
     def settle(self, steps: int = 20) -> None:
         """Runs without faults."""
         for _ in range(steps):
