Serve requests through the queue, the wallet and the router

Answers without a length or chunks are errors. Paths that a target could read differently are refused, since they decide whether a call may be repeated.

`enforce_budgets` (default true) is off in bench.local because the scheduler grants no tokens yet.

Ruled out: refusing new requests while draining; a load balancer sends them until it has seen the readiness.

--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -110,7 +110,8 @@
                 control=members,
                 schedulers=scheduler_addresses,
                 key_secret=KEY_SECRET,
-                **(gateway or {}),
+                # The scheduler does not grant tokens yet.
+                **{"enforce_budgets": False, **(gateway or {})},
             )
         announce_to = [
             node.settings["targets"] for node in cluster.of("gateway")
--- a/src/monsoonhinge/gateway/admission.py
+++ b/src/monsoonhinge/gateway/admission.py
@@ -16,11 +16,13 @@
     Attributes:
         team: Team as which it runs.
         key: Name of the caller's key, or "" on an open route.
+        key_hash: Hash of that key, or "".
         route: Route it uses.
     """
 
     team: str
     key: str
+    key_hash: str
     route: schema.Route
 
 
@@ -73,9 +75,13 @@
                 step="admit",
             )
         if key is not None and key.team in found.teams:
-            return Admitted(team=key.team, key=key.name, route=found)
+            return Admitted(
+                team=key.team, key=key.name, key_hash=key.hash, route=found
+            )
         if found.open_team is not None:
-            return Admitted(team=found.open_team, key="", route=found)
+            return Admitted(
+                team=found.open_team, key="", key_hash="", route=found
+            )
         if key is None:
             raise refusal.Refusal(
                 "this route needs a key",
@@ -114,10 +120,12 @@
             )
         )
         if key is None:
-            raise refusal.Refusal(
-                "the key is not valid",
-                status=401,
-                code="invalid_key",
-                step="admit",
-            )
+            raise invalid_key()
         return key
+
+
+def invalid_key() -> refusal.Refusal:
+    """Returns the refusal of a key that is unknown or withdrawn."""
+    return refusal.Refusal(
+        "the key is not valid", status=401, code="invalid_key", step="admit"
+    )
--- a/src/monsoonhinge/gateway/callers.py
+++ b/src/monsoonhinge/gateway/callers.py
@@ -3,17 +3,40 @@
 from collections.abc import Awaitable, Callable
 import json
 import logging
+import re
 import typing
 from typing import Any
+import urllib.parse
 import uuid
 
 from aiohttp import web
 
+from monsoonhinge.config import schema
+from monsoonhinge.gateway import forward
+from monsoonhinge.gateway import metrics
 from monsoonhinge.gateway import refusal
 
-_MAX_BODY_BYTES = 16 * 1024 * 1024
 _DEFAULT_TIMEOUT_S = 60.0
 
+# A request that carries one of these twice can mean different things to two
+# readers.
+_SINGLE_HEADERS = (
+    "Authorization",
+    "Content-Length",
+    "Content-Type",
+    "Host",
+    "Idempotency-Key",
+    "Transfer-Encoding",
+    "X-Request-Id",
+    "X-Request-Timeout",
+)
+
+# A target may read these as other separators or segments than the gateway
+# did when it decided whether a call may be repeated.
+_UNSAFE_PATH = re.compile(
+    r"%2[fF]|%5[cC]|%00|%(?![0-9a-fA-F]{2})|[\\#;\x00-\x20\x7f-\uffff]"
+)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -26,24 +49,33 @@
         """Answers a request to a model."""
 
     async def call(
-        self, request: web.Request, route: str, body: bytes
+        self, request: web.Request, route: str
     ) -> web.StreamResponse:
-        """Answers a call of a plain service."""
+        """Answers a call of a plain service; reads its body."""
 
     def models(self, request: web.Request) -> list[str]:
         """Returns the names of the routes that a caller may use."""
 
+    def model_body_limit(self, request: web.Request) -> int:
+        """Returns the largest body of any model route, in bytes.
+
+        Raises:
+            refusal.Refusal: The key is not valid.
+        """
+
+    def closing(self) -> bool:
+        """Returns whether callers should connect elsewhere."""
+
 
 def application(service: Service) -> web.Application:
     """Makes the HTTP application that callers use."""
     handlers = _Handlers(service)
-    app = web.Application(
-        client_max_size=_MAX_BODY_BYTES, middlewares=[_refusals]
-    )
+    app = web.Application(middlewares=[_refusals])
     for path in ("chat/completions", "completions", "embeddings"):
         app.router.add_post(f"/v1/{path}", handlers.complete)
     app.router.add_get("/v1/models", handlers.models)
     app.router.add_route("*", "/services/{route}/{path:.*}", handlers.call)
+    app.on_response_prepare.append(handlers.prepare)
     return app
 
 
@@ -72,13 +104,130 @@
     except ValueError:
         value = 0.0
     if not 0 < value < float("inf"):
+        raise _bad_header("X-Request-Timeout must be a positive number")
+    return min(value, longest)
+
+
+def check_headers(request: web.Request) -> None:
+    """Refuses requests whose headers two readers may take differently.
+
+    Raises:
+        refusal.Refusal: A header is duplicated, or two contradict each other.
+    """
+    for name in _SINGLE_HEADERS:
+        if len(request.headers.getall(name, ())) > 1:
+            raise _bad_header(f"{name} must occur once")
+    if "Content-Length" in request.headers and (
+        "Transfer-Encoding" in request.headers
+    ):
+        raise _bad_header(
+            "Content-Length and Transfer-Encoding exclude each other"
+        )
+
+
+def check_size(size: int, route: schema.Route) -> None:
+    """Refuses a body that is larger than its route permits.
+
+    Raises:
+        refusal.Refusal: It is too large.
+    """
+    if size > route.max_body_bytes:
+        raise refusal.Refusal(
+            f"the body is larger than {route.max_body_bytes} bytes",
+            status=413,
+            code="body_too_large",
+            step="parse",
+        )
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Reads a body of at most ``limit`` bytes.
+
+    Raises:
+        refusal.Refusal: The body is larger.
+    """
+    too_large = refusal.Refusal(
+        f"the body is larger than {limit} bytes",
+        status=413,
+        code="body_too_large",
+        step="parse",
+    )
+    if (request.content_length or 0) > limit:
+        raise too_large
+    parts: list[bytes] = []
+    size = 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > limit:
+            raise too_large
+        parts.append(part)
+    return b"".join(parts)
+
+
+def model_path(request: web.Request) -> str:
+    """Returns the path and query that an engine gets."""
+    query = request.rel_url.raw_query_string
+    return f"{request.path}?{query}" if query else request.path
+
+
+def service_path(request: web.Request, route: str) -> tuple[str, str]:
+    """Returns the raw path with query for a service, and the decoded path.
+
+    Raises:
+        refusal.Refusal: A target could read the path differently.
+    """
+    raw, mark, query = request.raw_path.partition("?")
+    prefix = f"/services/{route}/"
+    path = raw.removeprefix(prefix[:-1])
+    decoded = urllib.parse.unquote(path)
+    segments = decoded.split("/")[1:]
+    if (
+        not raw.startswith(prefix)
+        or _UNSAFE_PATH.search(path)
+        or any(segment in (".", "..") for segment in segments)
+        or "" in segments[:-1]
+    ):
         raise refusal.Refusal(
-            "X-Request-Timeout must be a positive number of seconds",
+            "the path is ambiguous",
             status=400,
-            code="invalid_header",
+            code="invalid_path",
             step="parse",
         )
-    return min(value, longest)
+    return f"{path}{mark}{query}", decoded
+
+
+def target_request(
+    request: web.Request, *, path: str, body: bytes, priority: int
+) -> forward.TargetRequest:
+    """Returns what a target gets of a request.
+
+    Raises:
+        refusal.Refusal: The caller's key is also outside ``Authorization``.
+    """
+    made = forward.TargetRequest(
+        request_id=request_id(request),
+        address="",
+        method=request.method,
+        path=path,
+        headers=forward.filter_headers(request.headers),
+        body=body,
+        priority=priority,
+        timeout_s=0.0,
+    )
+    key = request.headers.get("Authorization", "").partition(" ")[2].strip()
+    if key and (
+        key in path
+        or key in made.request_id
+        or key.encode() in body
+        or any(key in name + value for name, value in made.headers.items())
+    ):
+        raise refusal.Refusal(
+            "the key may occur in the Authorization header only",
+            status=400,
+            code="misplaced_key",
+            step="parse",
+        )
+    return made
 
 
 class _Handlers:
@@ -86,7 +235,10 @@
         self.service = service
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
-        body = await request.read()
+        if request.headers.get("Content-Encoding", "identity") != "identity":
+            raise _bad_header("Content-Encoding is not supported")
+        limit = self.service.model_body_limit(request)
+        body = await read_body(request, limit)
         try:
             document = json.loads(body)
         except (ValueError, RecursionError) as error:
@@ -108,9 +260,7 @@
         return await self.service.complete(request, document, body)
 
     async def call(self, request: web.Request) -> web.StreamResponse:
-        return await self.service.call(
-            request, request.match_info["route"], await request.read()
-        )
+        return await self.service.call(request, request.match_info["route"])
 
     async def models(self, request: web.Request) -> web.StreamResponse:
         return web.json_response(
@@ -124,25 +274,32 @@
             headers={"X-Request-Id": request_id(request)},
         )
 
+    async def prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.service.closing():
+            response.force_close()
+            response.headers["Connection"] = "close"
+
 
 @web.middleware
 async def _refusals(
     request: web.Request,
     handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
 ) -> web.StreamResponse:
+    kind = "service" if request.path.startswith("/services/") else "model"
     try:
-        return await handler(request)
+        check_headers(request)
+        response = await handler(request)
+        metrics.REQUESTS.labels(kind, str(response.status)).inc()
+        return response
     except refusal.Refusal as error:
         failure = error
-    except web.HTTPRequestEntityTooLarge:
-        failure = refusal.Refusal(
-            "the body is too large", status=413, code="body_too_large"
-        )
     except web.HTTPException as error:
-        if error.status < 400:
-            raise
         failure = refusal.Refusal(
-            error.reason, status=error.status, code="not_found"
+            error.reason,
+            status=404 if error.status < 500 else 503,
+            code="not_found",
         )
     except Exception:
         _LOG.exception(
@@ -164,4 +321,12 @@
             "code": failure.code,
         },
     )
+    metrics.REQUESTS.labels(kind, str(failure.status)).inc()
+    metrics.REFUSALS.labels(failure.code).inc()
     return failure.response(request_id(request))
+
+
+def _bad_header(message: str) -> refusal.Refusal:
+    return refusal.Refusal(
+        message, status=400, code="invalid_header", step="parse"
+    )
--- /dev/null
+++ b/src/monsoonhinge/gateway/demand.py
@@ -0,0 +1,137 @@
+"""Reports of waiting and running requests to the schedulers."""
+
+import asyncio
+import collections
+from collections.abc import Callable, Iterable
+
+from monsoonhinge.gateway import dispatch
+from monsoonhinge.protocol import messages
+
+COALESCE_S = 0.05
+FULL_INTERVAL_S = 1.0
+
+_Key = tuple[str, str, str]
+
+
+class Reporter:
+    """Reports demand on change, and in full once a second.
+
+    Attributes:
+        running: Running requests by model, adapter and team.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: dispatch.Dispatcher,
+        send: Callable[[messages.Message], None],
+        gateway: str,
+    ) -> None:
+        self.running: collections.Counter[_Key] = collections.Counter()
+        self._dispatcher = dispatcher
+        self._send = send
+        self._gateway = gateway
+        self._changed: set[str] = set()
+        self._reported: dict[str, set[str]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to report."""
+        self._dispatcher.changed = self.changed
+        self._task = asyncio.get_running_loop().create_task(self._report())
+
+    async def stop(self) -> None:
+        """Stops reporting."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def changed(self, lane: str) -> None:
+        """Notes a change; it is reported within the coalescing time."""
+        if not lane.startswith("model:"):
+            return
+        self._changed.add(lane)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                COALESCE_S, self._flush
+            )
+
+    def started(self, job: dispatch.Job) -> None:
+        """Counts a running request."""
+        if not job.need.service:
+            self.running[job.need.name, job.need.adapter, job.team] += 1
+            self.changed(job.lane)
+
+    def ended(self, job: dispatch.Job) -> None:
+        """Counts a request that no longer runs."""
+        key = (job.need.name, job.need.adapter, job.team)
+        if key in self.running:
+            self.running[key] -= 1
+            if not self.running[key]:
+                del self.running[key]
+            self.changed(job.lane)
+
+    def items(
+        self, lanes: Iterable[str] | None, now: float
+    ) -> list[messages.DemandItem]:
+        """Returns the demand of some lanes, by default of all.
+
+        A team whose demand ended since the last report has an empty item.
+        """
+        names = None if lanes is None else set(lanes)
+        found: dict[_Key, messages.DemandItem] = {}
+
+        def item(lane: str, team: str) -> messages.DemandItem:
+            _, model, adapter = lane.split(":")
+            return found.setdefault(
+                (model, adapter, team),
+                messages.DemandItem(model=model, adapter=adapter, team=team),
+            )
+
+        for lane in [None] if names is None else names:
+            for waiting in self._dispatcher.queue.waiting(lane):
+                if not waiting.lane.startswith("model:"):
+                    continue
+                entry = item(waiting.lane, waiting.team)
+                entry.waiting = waiting.count
+                left = waiting.earliest_deadline - now
+                entry.earliest_deadline_ms = max(1, int(left * 1000))
+        for (model, adapter, team), count in self.running.items():
+            lane = dispatch.lane_name(model, adapter)
+            if names is None or lane in names:
+                item(lane, team).running = count
+        for lane in names or ():
+            for team in self._reported.get(lane, ()):
+                item(lane, team)
+        return list(found.values())
+
+    def _flush(self) -> None:
+        self._timer = None
+        if self._changed:
+            now = asyncio.get_running_loop().time()
+            items = self.items(self._changed, now)
+            self._changed.clear()
+            self._publish(items, full=False)
+
+    def _publish(self, items: list[messages.DemandItem], *, full: bool) -> None:
+        if full:
+            self._reported.clear()
+        for item in items:
+            lane = dispatch.lane_name(item.model, item.adapter)
+            teams = self._reported.setdefault(lane, set())
+            if item.waiting or item.running:
+                teams.add(item.team)
+            else:
+                teams.discard(item.team)
+        self._send(
+            messages.Demand(gateway=self._gateway, full=full, items=items)
+        )
+
+    async def _report(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(FULL_INTERVAL_S)
+            self._publish(self.items(None, loop.time()), full=True)
--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -2,10 +2,10 @@
 
 from collections.abc import AsyncIterator, Mapping
 import dataclasses
-import typing
 
 import aiohttp
 import multidict
+import yarl
 
 from monsoonhinge.runtime import errors
 
@@ -46,7 +46,17 @@
 
 
 class AnswerLost(errors.MonsoonhingeError):
-    """The request may have run, but its answer did not arrive whole."""
+    """The request may have run, but its answer did not arrive whole.
+
+    Attributes:
+        timed_out: Whether the time for the answer ran out.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str, timed_out: bool = False
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.timed_out = timed_out
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +67,7 @@
         request_id: Id that the target must echo.
         address: Address of the target, ``host:port``.
         method: HTTP method.
-        path: Path with query.
+        path: Raw path with query, percent-encoded as the caller sent it.
         headers: Headers of the caller, not yet filtered.
         body: Whole body.
         priority: Priority at the engine; higher runs first.
@@ -74,20 +84,6 @@
     timeout_s: float
 
 
-class Answer(typing.Protocol):
-    """An answer of a target whose headers have arrived."""
-
-    status: int
-    headers: multidict.CIMultiDict[str]
-
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body.
-
-        Raises:
-            AnswerLost: The body ended early.
-        """
-
-
 class Forwarder:
     """Sends requests to targets and reads their answers."""
 
@@ -126,7 +122,9 @@
         try:
             response = await self.session.request(
                 request.method,
-                f"http://{request.address}{request.path}",
+                yarl.URL(
+                    f"http://{request.address}{request.path}", encoded=True
+                ),
                 data=request.body,
                 headers=headers,
                 allow_redirects=False,
@@ -143,7 +141,10 @@
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
             raise AnswerLost(
-                f"no answer: {error!r}", step=step, peer=request.address
+                f"no answer: {type(error).__name__}",
+                step=step,
+                peer=request.address,
+                timed_out=isinstance(error, TimeoutError),
             ) from error
         if response.headers.get("X-Request-Id") != request.request_id:
             response.close()
@@ -152,17 +153,32 @@
                 step=step,
                 peer=request.address,
             )
+        if not _has_end(request.method, response):
+            response.close()
+            raise AnswerLost(
+                "the answer has neither a length nor chunks",
+                step=step,
+                peer=request.address,
+            )
         return HttpAnswer(response=response, peer=request.address)
 
 
 class HttpAnswer:
-    """An answer over HTTP."""
+    """An answer over HTTP.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers that may pass to the caller.
+        length: Length of the body if the target stated it.
+        peer: Address of the target.
+    """
 
     def __init__(self, *, response: aiohttp.ClientResponse, peer: str) -> None:
         self.status = response.status
         self.headers = filter_headers(response.headers)
+        self.length = response.content_length
         self._response = response
-        self._peer = peer
+        self.peer = peer
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; see Answer."""
@@ -173,22 +189,28 @@
                 yield chunk
         except (aiohttp.ClientError, TimeoutError) as error:
             raise AnswerLost(
-                f"answer ended early: {error!r}", step="read", peer=self._peer
+                f"answer ended early: {type(error).__name__}",
+                step="read",
+                peer=self.peer,
+                timed_out=isinstance(error, TimeoutError),
             ) from error
 
-    async def read(self) -> bytes:
-        """Returns the whole body.
-
-        Raises:
-            AnswerLost: The body ended early.
-        """
-        return b"".join([chunk async for chunk in self.chunks()])
-
     def close(self) -> None:
         """Closes the connection unless the whole answer was read."""
         self._response.close()
 
 
+def _has_end(method: str, response: aiohttp.ClientResponse) -> bool:
+    # An answer that ends with its connection cannot be told from a truncated
+    # one.
+    return (
+        method == "HEAD"
+        or response.status in (204, 304)
+        or response.content_length is not None
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+
+
 def filter_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
     """Returns the headers that may pass between caller and target."""
     nominated = {
--- a/src/monsoonhinge/gateway/queue.py
+++ b/src/monsoonhinge/gateway/queue.py
@@ -266,6 +266,20 @@
                 removed.append(ticket)
         return removed
 
+    def drop_blocked(self, team: str) -> list[Ticket]:
+        """Removes and returns the requests of a team that lacks tokens."""
+        removed: list[Ticket] = []
+        for name in self._blocked.get(team, set()).copy():
+            group = self._lanes[name].groups[team]
+            removed += group.tickets
+        for ticket in removed:
+            self.remove(ticket)
+        return removed
+
+    def holds(self, lane_name: str) -> bool:
+        """Returns whether requests wait in a lane."""
+        return lane_name in self._lanes
+
     def waiting(self, lane_name: str | None = None) -> Iterator[Waiting]:
         """Yields what waits in one lane, by default in all."""
         names = list(self._lanes) if lane_name is None else [lane_name]
--- a/src/monsoonhinge/gateway/refusal.py
+++ b/src/monsoonhinge/gateway/refusal.py
@@ -65,6 +65,18 @@
         )
 
 
+def unfinished(reason: Refusal) -> Refusal:
+    """Returns the refusal of a request that was ended while it may run."""
+    return Refusal(
+        reason.message,
+        status=reason.status,
+        code=reason.code,
+        not_run="unknown",
+        retry_after_s=reason.retry_after_s,
+        step="forward",
+    )
+
+
 def _error_type(status: int) -> str:
     match status:
         case 401:
--- a/src/monsoonhinge/gateway/schedulers.py
+++ b/src/monsoonhinge/gateway/schedulers.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable, Sequence
 import contextlib
+from typing import TypeVar
 
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
 
+_Reply = TypeVar("_Reply")
+
 
 class Schedulers:
     """Relays announcements and demand, and receives directories.
@@ -36,6 +39,7 @@
         self._identity = identity
         self._availability_zone = availability_zone
         self._on_message = on_message
+        self._active = 0
 
     def start(self) -> None:
         """Begins to connect."""
@@ -53,6 +57,35 @@
             with contextlib.suppress(errors.ConnectionLost):
                 peer.notify(message)
 
+    async def request(
+        self,
+        message: messages.Message,
+        reply_type: type[_Reply],
+        *,
+        timeout: float,
+    ) -> _Reply:
+        """Asks the schedulers in turn, first the one that answered last.
+
+        Args:
+            message: The request; only the active scheduler answers it.
+            reply_type: Class of the reply.
+            timeout: Seconds that each scheduler has.
+
+        Raises:
+            errors.MonsoonhingeError: None of them answered.
+        """
+        failure: errors.MonsoonhingeError = errors.ConnectionLost(
+            "no scheduler is connected", step=type(message).__name__
+        )
+        for _ in range(len(self.peers)):
+            peer = self.peers[self._active % len(self.peers)]
+            try:
+                return await peer.request(message, reply_type, timeout=timeout)
+            except errors.MonsoonhingeError as error:
+                failure = error
+                self._active += 1
+        raise failure
+
     def connected(self, link: connection.Connection) -> None:
         """Subscribes to the directory of a scheduler."""
         link.notify(
--- a/src/monsoonhinge/gateway/wallet.py
+++ b/src/monsoonhinge/gateway/wallet.py
@@ -162,6 +162,10 @@
         left = self.retry_at - now
         return left if left > 0 else _DEFAULT_RETRY_S
 
+    def close(self) -> None:
+        """Ends all grants so that their tokens can be returned."""
+        self._expire(float("inf"))
+
     def idle(self, now: float) -> bool:
         """Returns whether nothing about the team must be remembered."""
         return (
