Let the load tool act behind a load balancer

Cause: a rolling restart can only be judged by callers whose balancer follows readiness.

With operations addresses in the plan, requests go to ready gateways only, and one that a stopping gateway surely did not run goes to another.

Ruled out: resending broken requests, which would hide requests cut by a stop.

--- a/src/monsoonhinge/bench/plan.py
+++ b/src/monsoonhinge/bench/plan.py
@@ -60,6 +60,10 @@
     Attributes:
         gateways: Addresses of the gateways, on loopback only; requests go to
             them in turn.
+        operations: Operations addresses of the same gateways, in the same
+            order. With them, requests go to ready gateways only, and one that
+            a stopping gateway did not run goes to another, as behind a load
+            balancer.
         seed: Seed of the arrivals; equal plans make equal loads.
         duration_s: Time in which requests arrive.
         max_requests: Requests after which no more arrive.
@@ -69,13 +73,20 @@
     """
 
     gateways: Annotated[list[str], pydantic.Field(min_length=1)]
+    operations: list[str] = []
     seed: int = 1
     duration_s: Annotated[float, pydantic.Field(gt=0, le=MAX_DURATION_S)]
     max_requests: Annotated[int, pydantic.Field(gt=0, le=MAX_REQUESTS)] = 10_000
     max_in_flight: Annotated[int, pydantic.Field(gt=0, le=20_000)] = 2_000
     flows: Annotated[list[Flow], pydantic.Field(min_length=1)]
 
-    @pydantic.field_validator("gateways")
+    @pydantic.model_validator(mode="after")
+    def _check_lengths(self) -> "Plan":
+        if self.operations and len(self.operations) != len(self.gateways):
+            raise ValueError("operations: one address per gateway is needed")
+        return self
+
+    @pydantic.field_validator("gateways", "operations")
     @classmethod
     def _check_gateways(cls, value: list[str]) -> list[str]:
         for url in value:
