--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -54,13 +54,17 @@
 
 @dataclasses.dataclass(slots=True)
 class VoteRequest:
-    """Asks for a vote; ``pre_vote`` asks without changing any term."""
+    """Asks for a vote; ``pre_vote`` asks without changing any term.
+
+    ``transfer`` marks an election that the leader itself asked for.
+    """
 
     term: int = 0
     candidate: str = ""
     last_index: int = 0
     last_term: int = 0
     pre_vote: bool = False
+    transfer: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -219,7 +223,8 @@
 class CallRecord:
     """State of a non-repeatable call.
 
-    ``state`` is ``absent``, ``running``, ``finished`` or ``unknown``.
+    ``state`` is ``absent``, ``running``, ``finished``, ``answer_not_kept`` or
+    ``unknown``.
     ``headers`` is a JSON list of name and value pairs.
     """
 
@@ -419,6 +424,114 @@
     retry_after_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Interest:
+    """Models whose load a gateway wants to follow; replaces earlier ones."""
+
+    models: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaLoad:
+    """Load of one replica; ``replica`` is the CRC-32 of its order id."""
+
+    replica: int = 0
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLoad:
+    """Load of a target's replicas since its last structural update."""
+
+    target: str = ""
+    sequence: int = 0
+    age_ms: int = 0
+    loads: list[ReplicaLoad] = dataclasses.field(default_factory=list)
+    cache_batch: int = 0
+    cache_events: list[CacheEvent] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class TargetAge:
+    """Age of the latest announcement of a target that is late."""
+
+    target: str = ""
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Loads:
+    """Heartbeat of a directory subscription.
+
+    Every target in the directory was heard at most ``bound_ms`` before the
+    message was sent, except those listed in ``late``. ``targets`` are loads
+    that the gateway is interested in.
+    """
+
+    bound_ms: int = 0
+    late: list[TargetAge] = dataclasses.field(default_factory=list)
+    targets: list[TargetLoad] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class TimeoutNow:
+    """The leader asks a member to start an election at once."""
+
+    term: int = 0
+    leader: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class SubscriberState:
+    """A subscriber of a control member and the version it has in effect.
+
+    ``session`` is its node and incarnation as ``node/incarnation``.
+    """
+
+    session: str = ""
+    role: str = ""
+    version: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RelayProbe:
+    """Probe relayed to the leader with the subscribers that probed."""
+
+    subscribers: list[SubscriberState] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class DescribeMember:
+    """Asks a control member for its identity."""
+
+
+@dataclasses.dataclass(slots=True)
+class MemberDescription:
+    """Identity of a control member; ``founded`` once it is in a cluster."""
+
+    name: str = ""
+    identity: str = ""
+    founded: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class AddMember:
+    """Adds the control member at an address, first as a learner."""
+
+    name: str = ""
+    host: str = ""
+    port: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RemoveMember:
+    """Removes a control member; ``force`` skips the live-quorum check."""
+
+    name: str = ""
+    force: bool = False
+
+
 Message = (
     Hello
     | HelloProof
@@ -451,4 +564,12 @@
     | Verdict
     | GrantRequest
     | Grant
+    | Interest
+    | Loads
+    | TimeoutNow
+    | RelayProbe
+    | DescribeMember
+    | MemberDescription
+    | AddMember
+    | RemoveMember
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -37,6 +37,7 @@
   lastIndex @2 :UInt64;
   lastTerm @3 :UInt64;
   preVote @4 :Bool;
+  transfer @5 :Bool;
 }
 
 struct VoteReply {
@@ -264,6 +265,71 @@
   retryAfterMs @4 :Int64;
 }
 
+struct Interest {
+  models @0 :List(Text);
+}
+
+struct ReplicaLoad {
+  replica @0 :UInt64;
+  running @1 :Int64;
+  waiting @2 :Int64;
+}
+
+struct TargetLoad {
+  target @0 :Text;
+  sequence @1 :UInt64;
+  ageMs @2 :Int64;
+  loads @3 :List(ReplicaLoad);
+  cacheBatch @4 :UInt64;
+  cacheEvents @5 :List(CacheEvent);
+}
+
+struct TargetAge {
+  target @0 :Text;
+  ageMs @1 :Int64;
+}
+
+struct Loads {
+  boundMs @0 :Int64;
+  late @1 :List(TargetAge);
+  targets @2 :List(TargetLoad);
+}
+
+struct TimeoutNow {
+  term @0 :UInt64;
+  leader @1 :Text;
+}
+
+struct SubscriberState {
+  session @0 :Text;
+  role @1 :Text;
+  version @2 :UInt64;
+}
+
+struct RelayProbe {
+  subscribers @0 :List(SubscriberState);
+}
+
+struct DescribeMember {
+}
+
+struct MemberDescription {
+  name @0 :Text;
+  identity @1 :Text;
+  founded @2 :Bool;
+}
+
+struct AddMember {
+  name @0 :Text;
+  host @1 :Text;
+  port @2 :Int64;
+}
+
+struct RemoveMember {
+  name @0 :Text;
+  force @1 :Bool;
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -300,6 +366,14 @@
     verdict @30 :Verdict;
     grantRequest @31 :GrantRequest;
     grant @32 :Grant;
+    interest @33 :Interest;
+    loads @34 :Loads;
+    timeoutNow @35 :TimeoutNow;
+    relayProbe @36 :RelayProbe;
+    describeMember @37 :DescribeMember;
+    memberDescription @38 :MemberDescription;
+    addMember @39 :AddMember;
+    removeMember @40 :RemoveMember;
   }
 }
 
@@ -320,6 +394,7 @@
 struct WithdrawKey {
   name @0 :Text;
   publisher @1 :Text;
+  hash @2 :Text;
 }
 
 struct AcquireLease {
@@ -346,6 +421,7 @@
   gateway @4 :Text;
   claimId @5 :Text;
   nowMs @6 :Int64;
+  limitBytes @7 :UInt64;
 }
 
 struct FinishCall {
