--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -299,15 +299,26 @@
         self.signal(name, signal.SIGTERM)
         return self._wait(name, timeout)
 
-    def terminate_all(self, *, timeout: float = 30.0) -> dict[str, int]:
-        """Stops all processes gracefully, control last.
+    def terminate_all(
+        self, *, names: Iterable[str] = (), timeout: float = 30.0
+    ) -> dict[str, int]:
+        """Stops processes gracefully, control last.
+
+        Args:
+            names: The processes, by default all.
+            timeout: Seconds after which a process is killed.
 
         Returns:
             Exit codes by node name; -9 for one that had to be killed.
         """
         codes = {}
+        names = tuple(names)
         for package in ("gateway", "emulator", "scheduler", "control"):
-            running = [node for node in self.of(package) if node.running]
+            running = [
+                node
+                for node in self.of(package)
+                if node.running and (not names or node.name in names)
+            ]
             for node in running:
                 self.signal(node.name, signal.SIGTERM)
             for node in running:
--- /dev/null
+++ b/tests/features/deployment.py
@@ -0,0 +1,296 @@
+"""A whole system on loopback that scenarios share."""
+
+from collections.abc import Callable
+import concurrent.futures
+import contextlib
+import http.client
+import pathlib
+import time
+from typing import Any
+
+from monsoonhinge.bench import exchange
+from monsoonhinge.bench import local
+from monsoonhinge.bench import operators
+from monsoonhinge.bench import polling
+
+CONTROLS = 1
+GATEWAYS = 3
+ENGINES = ("engine-0", "engine-1")
+SERVICES = ("service-0", "service-1")
+
+# In effect everywhere within 20 s: section 1.4 of the design page.
+IN_EFFECT_S = 20.0
+# Refused new requests and cut streams after a withdrawal: section 4.
+WITHDRAWN_S = 4.0
+STREAM_ENDED_S = 10.0
+# A target that leaves silently gets no work after this: section 6.
+LEFT_S = 4.0
+# A lost gateway's calls become unknown after 10 s: section 4.
+UNKNOWN_S = 10.0
+# Time for the processes themselves on a busy machine.
+SLACK_S = 10.0
+
+REPLICA_BYTES = 11_000_000_000
+MODELS = ("deposits", "notes", "reviews", "pallets", "menus", "labels")
+
+
+def objects() -> list[dict[str, Any]]:
+    """Returns the configuration that scenarios start from."""
+    found: list[dict[str, Any]] = [
+        {
+            "kind": "service",
+            "name": "ledger",
+            "non_repeatable": [{"method": "POST", "path_prefix": "/refunds"}],
+        },
+        {"kind": "route", "name": "ledger", "service": "ledger"},
+        {"kind": "store", "name": "weights", "loads_per_s": 4.0},
+        {"kind": "policy", "name": "policy", "min_keep_s": 300.0},
+    ]
+    found[1]["teams"] = ["bars", "drivers"]
+    for team, rate, burst in (
+        ("bars", 20_000, 200_000),
+        ("drivers", 20_000, 200_000),
+        ("reviewers", 200, 400),
+    ):
+        found.append(
+            {
+                "kind": "team",
+                "name": team,
+                "tokens_per_s": rate,
+                "burst_tokens": burst,
+            }
+        )
+    for model in MODELS:
+        found += [
+            {
+                "kind": "model",
+                "name": model,
+                "versions": [
+                    {"version": "1", "weights_bytes": 10**10, "load_s": 1.0}
+                ],
+                "current": "1",
+                "kv_bytes_per_replica": 10**9,
+            },
+            {
+                "kind": "route",
+                "name": f"{model}-route",
+                "model": model,
+                "teams": ["bars", "drivers", "reviewers"],
+            },
+        ]
+    return found
+
+
+class Deployment:
+    """The system and what scenarios do with it.
+
+    Attributes:
+        cluster: The processes.
+        operator: The operator.
+        pool: Threads for callers that wait.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.cluster = local.Cluster.plan(
+            folder,
+            controls=CONTROLS,
+            schedulers=2,
+            gateways=GATEWAYS,
+            engines=2,
+            services=2,
+            stores=1,
+            relayed=[],
+            engine={
+                "load_s": 1.0,
+                "announce_s": 0.5,
+                "memory_bytes": 6 * REPLICA_BYTES,
+                "default_bytes": REPLICA_BYTES,
+            },
+            service={"services": ["ledger"], "announce_s": 0.5},
+        )
+        self.operator = operators.Operator.of(self.cluster)
+        self.pool = concurrent.futures.ThreadPoolExecutor(64)
+
+    def start(self) -> None:
+        """Starts everything and publishes the configuration."""
+        self.cluster.start()
+        result = self.operator.publish(1, objects())
+        assert result.code == "accepted", result
+        for team in ("bars", "drivers", "reviewers"):
+            self.grant(team, f"key-of-the-{team}")
+        self.heal()
+
+    def stop(self) -> None:
+        """Ends everything."""
+        self.cluster.stop()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    def heal(self) -> None:
+        """Restores links, faults and processes after a scenario."""
+        for link in self.cluster.links.values():
+            link.set("pass")
+        for name, node in self.cluster.nodes.items():
+            if not node.running:
+                self.cluster.start(name)
+        self.cluster.wait_ready(timeout=30)
+        for node in self.cluster.of("emulator"):
+            if node.settings["kind"] != "store":
+                self.cluster.show_faults(node.name)
+        self.wait_targets()
+
+    def wait_targets(self, *, timeout: float = SLACK_S) -> None:
+        """Waits until all targets are known to each gateway."""
+        names = (*ENGINES, *SERVICES)
+        polling.wait_until(
+            lambda: all(
+                set(self.cluster.dump(node.name)["targets"]) == set(names)
+                for node in self.cluster.of("gateway")
+                if node.running
+            ),
+            timeout=timeout,
+            what=f"gateways know {names}",
+        )
+
+    def grant(self, team: str, key: str) -> None:
+        """Gives a team a key and waits until gateways accept it."""
+        result = self.operator.grant(name=key, team=team, key=key)
+        assert result.code == "accepted", result
+        self.wait_version(result.version)
+
+    def wait_version(
+        self, version: int, *, timeout: float = IN_EFFECT_S
+    ) -> None:
+        """Waits until a version is in effect at all running gateways."""
+        polling.wait_until(
+            lambda: all(
+                self.cluster.dump(node.name)["version"] >= version
+                for node in self.cluster.of("gateway")
+                if node.running
+            ),
+            timeout=timeout,
+            what=f"version {version} in effect at every gateway",
+        )
+
+    def url(self, gateway: int, path: str) -> str:
+        """Returns the URL of a path at a gateway."""
+        node = self.cluster.nodes[f"gateway-{gateway}"]
+        return node.url("callers") + path
+
+    def ask(
+        self,
+        model: str,
+        *,
+        gateway: int = 0,
+        team: str = "bars",
+        key: str = "",
+        tokens: int = 4,
+        stream: bool = False,
+        timeout: float = 30.0,
+    ) -> exchange.Exchange:
+        """Sends a model request."""
+        return exchange.Exchange(
+            self.url(gateway, "/v1/chat/completions"),
+            key=key or f"key-of-the-{team}",
+            body={
+                "model": f"{model}-route",
+                "stream": stream,
+                "max_tokens": tokens,
+                "messages": [{"role": "user", "content": "how much?"}],
+            },
+            headers={"X-Request-Timeout": str(timeout)},
+            timeout=timeout + SLACK_S,
+        )
+
+    def answer(self, model: str, **fields: Any) -> exchange.Answer:
+        """Sends a model request and returns the whole answer."""
+        return self.ask(model, **fields).read()
+
+    def refund(
+        self, number: str, *, gateway: int = 0, timeout: float = 30.0
+    ) -> exchange.Answer:
+        """Sends a refund whose idempotency key is its number."""
+        return exchange.send(
+            self.url(gateway, f"/services/ledger/refunds/{number}"),
+            key="key-of-the-bars",
+            body={"kegs": 3},
+            headers={
+                "Idempotency-Key": number,
+                "X-Request-Timeout": str(timeout),
+            },
+            timeout=timeout + SLACK_S,
+        )
+
+    def in_background(
+        self, work: Callable[..., Any], *args: Any, **fields: Any
+    ) -> "concurrent.futures.Future[Any]":
+        """Runs a caller in a thread of its own."""
+        return self.pool.submit(work, *args, **fields)
+
+    def refunds_run(self, number: str) -> int:
+        """Returns how often the ledger has run a refund."""
+        path = f"/refunds/{number}"
+        return sum(
+            int(self.cluster.dump(name)["effects"].get(path, 0))
+            for name in SERVICES
+        )
+
+    def engines(self) -> dict[str, dict[str, Any]]:
+        """Returns the state of the running engines."""
+        return {
+            node.name: self.cluster.dump(node.name)
+            for node in self.cluster.of("emulator")
+            if node.settings["kind"] == "engine" and node.running
+        }
+
+    def replicas(self, model: str) -> list[tuple[str, str]]:
+        """Returns engine and state of each replica of a model."""
+        return [
+            (name, replica["state"])
+            for name, state in self.engines().items()
+            for replica in state["announcement"]["replicas"]
+            if replica["model"] == model
+        ]
+
+    def load_orders(self, model: str) -> set[str]:
+        """Returns the ids of load orders that running engines received."""
+        return {
+            order["order_id"]
+            for state in self.engines().values()
+            for order in state["orders"]
+            if order["action"] == "load" and order["model"] == model
+        }
+
+    def active_scheduler(self) -> str:
+        """Returns the scheduler that holds the lease.
+
+        Raises:
+            TimeoutError: No scheduler holds it in time.
+        """
+        found: list[str] = []
+
+        def search() -> bool:
+            found[:] = [
+                node.name
+                for node in self.cluster.of("scheduler")
+                if node.running and self.cluster.dump(node.name)["fencing"]
+            ]
+            return len(found) == 1
+
+        polling.wait_until(search, timeout=SLACK_S, what="one active scheduler")
+        return found[0]
+
+
+def eventually(holds: Callable[[], bool], *, within: float, what: str) -> None:
+    """Waits until something holds, also over restarting processes."""
+
+    def attempt() -> bool:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            return holds()
+        return False
+
+    polling.wait_until(attempt, timeout=within, what=what)
+
+
+def seconds_since(started: float) -> float:
+    """Returns the seconds since a monotonic time."""
+    return time.monotonic() - started
