--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -142,7 +142,7 @@
                 schedulers=scheduler_addresses,
                 key_secret=KEY_SECRET,
                 # The scheduler does not grant tokens yet.
-                **{"enforce_budgets": False, **(gateway or {})},
+                **(gateway or {}),
             )
         further = dict(engine or {})
         if stores:
--- a/src/monsoonhinge/config/reference.py
+++ b/src/monsoonhinge/config/reference.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pydantic
-from pydantic_core import PydanticUndefined
+import pydantic_core
 
 from monsoonhinge.config import schema
 from monsoonhinge.runtime import settings
@@ -142,7 +142,7 @@
 
 
 def _default(field: pydantic.fields.FieldInfo) -> str:
-    if field.default is PydanticUndefined:
+    if field.default is pydantic_core.PydanticUndefined:
         return "required"
     return "none" if field.default is None else f"`{field.default!r}`"
 
--- a/src/monsoonhinge/gateway/grants.py
+++ b/src/monsoonhinge/gateway/grants.py
@@ -13,9 +13,9 @@
 _ASK_TIMEOUT_S = 0.5
 _PAUSE_S = 0.2
 _MIN_PAUSE_S = 0.02
-# A new scheduler becomes the holder within a lease of 3 s after the old one
-# failed; until then waiting requests keep waiting.
-_HOLDER_ABSENT_S = 5.0
+# A standby becomes the holder after the lease of 3 s has expired and it has
+# read the checkpoints; requests wait for three times that before a refusal.
+_HOLDER_ABSENT_S = 9.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -40,14 +40,15 @@
         self.dispatcher = dispatcher
         self._holders = holders
         self._gateway = gateway
-        self._answered_at = 0.0
+        # When the first of the requests in a row without an answer left. Time
+        # without requests says nothing about the holder.
+        self._unanswered_since: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begins to supply the wallet."""
         loop = asyncio.get_running_loop()
-        self._answered_at = loop.time()
         self.dispatcher.starved = self.consider
         self._ticker = loop.create_task(self._tick())
 
@@ -86,7 +87,10 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_TICK_S)
-            absent = loop.time() - self._answered_at > _HOLDER_ABSENT_S
+            since = self._unanswered_since
+            absent = since is not None and (
+                loop.time() - since > _HOLDER_ABSENT_S
+            )
             for team in self.dispatcher.queue.blocked_teams():
                 account = self.wallet.account(team)
                 if absent and not account.answered:
@@ -120,8 +124,10 @@
         except errors.MonsoonhingeError as error:
             _LOG.debug("no grant: %s", error, extra={"team": team})
             account.unanswered(loop.time(), _PAUSE_S)
+            if self._unanswered_since is None:
+                self._unanswered_since = asked_at
             return
-        self._answered_at = loop.time()
+        self._unanswered_since = None
         account.replied(
             max(grant.retry_after_ms / 1000, _MIN_PAUSE_S)
             if grant.tokens < ask.wanted
--- a/tests/scheduler/test_scheduler_process.py
+++ b/tests/scheduler/test_scheduler_process.py
@@ -10,6 +10,7 @@
 import scheduler_world as world
 
 from monsoonhinge.config import schema
+from monsoonhinge.config import validate
 from monsoonhinge.control import process as control_process
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
@@ -60,15 +61,13 @@
             "cluster_secret": _SECRET,
         }
         member = settings.Member(name="c0", address=_address())
-        self.control = control_process.ControlProcess.from_config(
-            settings.Control(
-                node="c0",
-                operations=_address(),
-                listen=member.address,
-                data_dir=data_dir,
-                members=[member],
-                **common,
-            )
+        self.control_settings = settings.Control(
+            node="c0",
+            operations=_address(),
+            listen=member.address,
+            data_dir=data_dir,
+            members=[member],
+            **common,
         )
         self.schedulers = [
             process.SchedulerProcess.from_config(
@@ -111,6 +110,9 @@
         await web.TCPSite(
             runner, self.target_address.host, self.target_address.port
         ).start()
+        self.control = control_process.ControlProcess.from_config(
+            self.control_settings
+        )
         await self.control.start()
         view = world.make_view()
         team = schema.Team(name="a", tokens_per_s=10, burst_tokens=100)
@@ -129,7 +131,7 @@
                 result = await self.schedulers[0].control.propose(
                     commands.PublishConfig(
                         version=1,
-                        digest=b"d",
+                        digest=validate.digest(items),
                         publisher="p",
                         objects=[schema.canonical(item) for item in items],
                     ),
@@ -198,7 +200,7 @@
             peer.notify(demand)
         await fleet.until(lambda: bool(fleet.orders))
         await fleet.until(lambda: bool(fleet.gateway.verdicts))
-        assert list(fleet.control.machine.decisions) == [
+        assert list(fleet.control.replica.machine.decisions) == [
             fleet.orders[0]["order_id"]
         ]
         ask = messages.GrantRequest(gateway="g", team="a", wanted=90)
