Add the operators' command line

Cause: operators had no program of their own.

- The configuration in effect is received in parts like that of a subscriber, because a large one does not fit one reply.

Ruled out: keys as arguments, which other users of the machine can see.

Conclusion: every command is run against members on loopback, with conflicts, lost replies and silent members.

--- a/src/monsoonhinge/cli/__init__.py
+++ b/src/monsoonhinge/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command line."""
+"""Command line of operators, one module per command group."""
--- /dev/null
+++ b/src/monsoonhinge/cli/cluster.py
@@ -0,0 +1,172 @@
+"""Commands on the cluster: status and members."""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Annotated, Any
+
+import cappa
+import pydantic
+
+from monsoonhinge.cli import options
+from monsoonhinge.cli import outcome
+from monsoonhinge.cli import session
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import settings
+
+# A member change that the leader refuses in the cluster's present state.
+_REFUSED_CODE = "change_refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subscriber:
+    """A live subscriber as the leader knows it."""
+
+    version: int
+    role: str = ""
+
+
+def subscribers(status: Mapping[str, Any]) -> dict[str, Subscriber]:
+    """Returns the live subscribers by session, without commands."""
+    return {
+        name: Subscriber(
+            version=entry.get("version", 0), role=entry.get("role", "")
+        )
+        if isinstance(entry, dict)
+        else Subscriber(version=entry)
+        for name, entry in status.get("subscribers", {}).items()
+        if not name.startswith(session.NODE_PREFIX)
+    }
+
+
+@cappa.command(name="status", help="Shows members and subscribers")
+@dataclasses.dataclass
+class Status(options.Remote):
+    """Shows the leader, the members and the subscribers."""
+
+    async def run(self) -> None:
+        """Prints what the leader knows."""
+        async with session.connect(self.read_settings()) as control:
+            status = await control.read("status", timeout=self.timeout)
+        lines = [
+            f"leader   {status.get('leader', '')}",
+            f"version  {status.get('version', '')}",
+            "",
+            outcome.table(["MEMBER", "ADDRESS", "VOTER"], _members(status)),
+            "",
+            outcome.table(
+                ["SUBSCRIBER", "ROLE", "VERSION"],
+                [
+                    (name, entry.role, entry.version)
+                    for name, entry in sorted(subscribers(status).items())
+                ],
+            ),
+        ]
+        outcome.show(status, as_json=self.json, text="\n".join(lines))
+
+
+@cappa.command(name="add", help="Adds a control member")
+@dataclasses.dataclass
+class Add(options.Remote):
+    """Adds a control member, first as a learner."""
+
+    name: Annotated[str, cappa.Arg(help="Name of the member")]
+    address: Annotated[
+        str, cappa.Arg(value_name="HOST:PORT", help="Its listen address")
+    ]
+
+    async def run(self) -> None:
+        """Adds the member."""
+        address = parse_address(self.address)
+        await _change_members(
+            self,
+            messages.AddMember(
+                name=self.name, host=address.host, port=address.port
+            ),
+            f"member {self.name} is added",
+        )
+
+
+@cappa.command(name="remove", help="Removes a control member")
+@dataclasses.dataclass
+class Remove(options.Remote):
+    """Removes a control member."""
+
+    name: Annotated[str, cappa.Arg(help="Name of the member")]
+    force: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Even if too few live voters remain"),
+    ] = False
+
+    async def run(self) -> None:
+        """Removes the member."""
+        await _change_members(
+            self,
+            messages.RemoveMember(name=self.name, force=self.force),
+            f"member {self.name} is removed",
+        )
+
+
+@cappa.command(name="member", help="Adds and removes control members")
+@dataclasses.dataclass
+class Member:
+    """Group of the member commands."""
+
+    command: cappa.Subcommands[Add | Remove]
+
+
+def parse_address(text: str) -> settings.Address:
+    """Parses ``host:port``; an IPv6 address is in brackets.
+
+    Raises:
+        outcome.Failure: The text is no address.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        return settings.Address(host=host.strip("[]"), port=int(port))
+    except (ValueError, pydantic.ValidationError) as error:
+        raise outcome.Failure(
+            outcome.EXIT_BAD_INPUT,
+            [f"{text!r} is no address: it must be an IP address and a port"],
+        ) from error
+
+
+def _members(status: Mapping[str, Any]) -> list[tuple[str, str, str]]:
+    return [
+        (
+            str(member.get("name") or member.get("id", "")),
+            str(member.get("address", "")),
+            "yes" if member.get("voter") else "no",
+        )
+        for member in status.get("members", [])
+        if isinstance(member, dict)
+    ]
+
+
+async def _change_members(
+    command: options.Remote,
+    message: messages.AddMember | messages.RemoveMember,
+    text: str,
+) -> None:
+    async with session.connect(command.read_settings()) as control:
+        try:
+            await control.request(
+                message,
+                messages.Ack,
+                timeout=command.timeout,
+                # A new member catches up before the reply.
+                attempt_timeout=command.timeout,
+            )
+        except errors.RequestTimeout as error:
+            raise outcome.Failure(
+                outcome.EXIT_UNKNOWN,
+                [f"{error}", "outcome unknown; running it again is safe"],
+            ) from error
+        except errors.RemoteError as error:
+            conflict = error.code == _REFUSED_CODE
+            raise outcome.Failure(
+                outcome.EXIT_CONFLICT if conflict else outcome.EXIT_FAILED,
+                [str(error)],
+                {"code": error.code},
+            ) from error
+    outcome.show({"member": message.name}, as_json=command.json, text=text)
--- /dev/null
+++ b/src/monsoonhinge/cli/configuration.py
@@ -0,0 +1,237 @@
+"""Commands on configurations: check, publish, get, diff."""
+
+import asyncio
+from collections.abc import Mapping
+import dataclasses
+import json
+import pathlib
+from typing import Annotated, Any
+
+import cappa
+
+from monsoonhinge.cli import cluster
+from monsoonhinge.cli import options
+from monsoonhinge.cli import outcome
+from monsoonhinge.cli import session
+from monsoonhinge.config import pack
+from monsoonhinge.config import schema
+from monsoonhinge.config import validate
+from monsoonhinge.control import client
+from monsoonhinge.protocol import commands
+from monsoonhinge.runtime import errors
+
+File = Annotated[pathlib.Path, cappa.Arg(help="Configuration file")]
+
+_POLL_S = 0.2
+_LAST_READ_S = 0.5
+
+
+@cappa.command(name="check", help="Validates a configuration file")
+@dataclasses.dataclass
+class Check(options.Output):
+    """Validates a configuration file without any server."""
+
+    file: File
+
+    async def run(self) -> None:
+        """Prints the number of objects."""
+        version, objects = _read(self.file)
+        outcome.show(
+            {"version": version, "objects": len(objects)},
+            as_json=self.json,
+            text=f"{self.file}: ok, version {version}, {len(objects)} objects",
+        )
+
+
+@cappa.command(name="publish", help="Publishes a configuration file")
+@dataclasses.dataclass
+class Publish(options.Remote):
+    """Publishes a configuration file as the next version."""
+
+    file: File
+    wait: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Wait until every subscriber has it"),
+    ] = False
+
+    async def run(self) -> None:
+        """Publishes, and names the subscribers that do not follow."""
+        version, objects = _read(self.file)
+        config = self.read_settings()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.timeout
+        command = commands.PublishConfig(
+            version=version,
+            digest=validate.digest(objects.values()),
+            publisher=config.operator,
+            packed=pack.pack(
+                [schema.canonical(item) for item in objects.values()]
+            ),
+        )
+        async with session.connect(config) as control:
+            result = await session.change(
+                control, command, timeout=self.timeout
+            )
+            behind = (
+                await _followers_behind(control, version, deadline=deadline)
+                if self.wait
+                else {}
+            )
+        document = {
+            "version": version,
+            "digest": result.digest.hex(),
+            "publisher": result.publisher,
+            "behind": behind,
+        }
+        if behind:
+            raise outcome.Failure(
+                outcome.EXIT_FAILED,
+                [
+                    f"published version {version}; {name} has version {have}"
+                    for name, have in behind.items()
+                ],
+                document,
+            )
+        where = " and is in effect at every subscriber" if self.wait else ""
+        outcome.show(
+            document,
+            as_json=self.json,
+            text=f"version {version} is accepted{where}",
+        )
+
+
+@cappa.command(name="get", help="Shows the configuration in effect")
+@dataclasses.dataclass
+class Get(options.Remote):
+    """Shows the configuration in effect, or one object."""
+
+    id: Annotated[
+        str | None, cappa.Arg(value_name="KIND/NAME", help="One object")
+    ] = None
+
+    async def run(self) -> None:
+        """Prints a table of objects, or one object as JSON."""
+        view = await session.configuration(
+            self.read_settings(), timeout=self.timeout
+        )
+        if self.id is not None:
+            item = view.objects.get(self.id)
+            if item is None:
+                raise outcome.Failure(
+                    outcome.EXIT_FAILED,
+                    [f"{self.id} does not exist in version {view.version}"],
+                )
+            found = item.model_dump(mode="json")
+            outcome.show(
+                found, as_json=self.json, text=json.dumps(found, indent=2)
+            )
+            return
+        objects = [
+            item.model_dump(mode="json") for item in view.objects.values()
+        ]
+        rows = sorted((item["kind"], item["name"]) for item in objects)
+        outcome.show(
+            {"version": view.version, "objects": objects},
+            as_json=self.json,
+            text=f"version {view.version}\n"
+            + outcome.table(["KIND", "NAME"], rows),
+        )
+
+
+@cappa.command(name="diff", help="Compares a file with what is in effect")
+@dataclasses.dataclass
+class Diff(options.Remote):
+    """Shows what publishing a file would change."""
+
+    file: File
+
+    async def run(self) -> None:
+        """Prints one line per added, removed or changed field."""
+        version, objects = _read(self.file)
+        view = await session.configuration(
+            self.read_settings(), timeout=self.timeout
+        )
+        changes = _changes(session.documents(view), objects)
+        lines = [f"version {view.version} is in effect, the file has {version}"]
+        lines += [
+            f"{change['change']:<8} {change['id']}"
+            + "".join(
+                f"\n         {field}: {old!r} -> {new!r}"
+                for field, (old, new) in change.get("fields", {}).items()
+            )
+            for change in changes
+        ]
+        outcome.show(
+            {
+                "in_effect": view.version,
+                "file": version,
+                "changes": changes,
+            },
+            as_json=self.json,
+            text="\n".join(lines if changes else [*lines, "no changes"]),
+        )
+
+
+async def _followers_behind(
+    control: client.Client, version: int, *, deadline: float
+) -> dict[str, int]:
+    """Returns the subscribers that lack a version at the deadline."""
+    loop = asyncio.get_running_loop()
+    while True:
+        left = max(deadline - loop.time(), _LAST_READ_S)
+        try:
+            status = await control.read("status", timeout=left)
+        except errors.RequestTimeout as error:
+            raise outcome.Failure(
+                outcome.EXIT_UNKNOWN,
+                [f"version {version} is accepted; who follows: {error}"],
+                {"version": version},
+            ) from error
+        behind = {
+            name: subscriber.version
+            for name, subscriber in cluster.subscribers(status).items()
+            if subscriber.version < version
+        }
+        if not behind or loop.time() >= deadline:
+            return behind
+        await asyncio.sleep(_POLL_S)
+
+
+def _read(path: pathlib.Path) -> tuple[int, dict[str, schema.AnyObject]]:
+    try:
+        return validate.read_file(path.read_text())
+    except OSError as error:
+        problems = [f"{path}: cannot read: {error.strerror}"]
+    except UnicodeDecodeError:
+        problems = [f"{path}: is not UTF-8 text"]
+    except ExceptionGroup as group:
+        problems = [f"{path}: {_plain(error)}" for error in group.exceptions]
+    raise outcome.Failure(outcome.EXIT_BAD_INPUT, problems)
+
+
+def _plain(error: Exception) -> str:
+    """Returns an error without its step, which is the command itself."""
+    return str(error.args[0])
+
+
+def _changes(
+    old: Mapping[str, schema.AnyObject], new: Mapping[str, schema.AnyObject]
+) -> list[dict[str, Any]]:
+    changes: list[dict[str, Any]] = []
+    for object_id in sorted(old.keys() | new.keys()):
+        before, after = old.get(object_id), new.get(object_id)
+        if before is None or after is None:
+            kind = "added" if before is None else "removed"
+            changes.append({"change": kind, "id": object_id})
+        elif before != after:
+            left = before.model_dump(mode="json")
+            right = after.model_dump(mode="json")
+            fields = {
+                field: (left[field], right[field])
+                for field in left
+                if left[field] != right[field]
+            }
+            changes.append(
+                {"change": "changed", "id": object_id, "fields": fields}
+            )
+    return changes
--- /dev/null
+++ b/src/monsoonhinge/cli/outcome.py
@@ -0,0 +1,60 @@
+"""Exit codes and output of commands."""
+
+from collections.abc import Sequence
+import json
+import sys
+from typing import Any
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_UNKNOWN = 4
+
+
+class Failure(Exception):
+    """A command ends with an exit code other than 0.
+
+    Attributes:
+        code: Exit code.
+        problems: Lines for standard error.
+        document: Document for ``--json``.
+    """
+
+    def __init__(
+        self,
+        code: int,
+        problems: Sequence[str],
+        document: dict[str, Any] | None = None,
+    ) -> None:
+        super().__init__("; ".join(problems))
+        self.code = code
+        self.problems = list(problems)
+        self.document = document or {}
+
+
+def show(document: Any, *, as_json: bool, text: str) -> None:
+    """Prints a result as JSON or as text."""
+    print(json.dumps(document, indent=2) if as_json else text, flush=True)
+
+
+def show_failure(failure: Failure, *, as_json: bool) -> None:
+    """Prints a failure; as JSON on standard output, as text on the other."""
+    if as_json:
+        document = {"errors": failure.problems, **failure.document}
+        print(json.dumps(document, indent=2), flush=True)
+    else:
+        for problem in failure.problems:
+            print(problem, file=sys.stderr)
+
+
+def table(header: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    """Returns a table with aligned columns."""
+    cells = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    )
--- /dev/null
+++ b/src/monsoonhinge/cli/session.py
@@ -0,0 +1,114 @@
+"""Connection of a command to the control members."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import time
+
+from monsoonhinge.cli import outcome
+from monsoonhinge.config import schema
+from monsoonhinge.config import view as config_view
+from monsoonhinge.control import client
+from monsoonhinge.protocol import commands
+from monsoonhinge.protocol import connection
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import settings
+
+# Marks sessions of commands, which end at once and follow no publication.
+NODE_PREFIX = "operator:"
+
+_POLL_S = 0.02
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    config: settings.Operator, *, watch: bool = False
+) -> AsyncIterator[client.Client]:
+    """Connects to the control members for the time of a command."""
+    control = client.Client(
+        members=config.control,
+        identity=connection.Identity(
+            node=f"{NODE_PREFIX}{config.operator}",
+            role="operator",
+            incarnation=time.time_ns(),
+            secret=config.cluster_secret.encode(),
+        ),
+    )
+    control.start(watch=watch)
+    try:
+        yield control
+    finally:
+        await control.stop()
+
+
+async def configuration(
+    config: settings.Operator, *, timeout: float
+) -> config_view.View:
+    """Returns the configuration in effect.
+
+    It is received in parts like that of a subscriber, since a large one does
+    not fit one reply.
+
+    Raises:
+        errors.RequestTimeout: No member confirmed it in time.
+    """
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    async with connect(config, watch=True) as control:
+        while loop.time() - began < timeout:
+            if control.staleness(loop.time()) < loop.time() - began:
+                return control.view
+            await asyncio.sleep(_POLL_S)
+    raise errors.RequestTimeout(
+        f"no control member confirmed the configuration within {timeout:.1f} s",
+        step="read configuration",
+    )
+
+
+async def change(
+    control: client.Client, command: commands.Command, *, timeout: float
+) -> commands.ConfigResult:
+    """Commits a change of the configuration.
+
+    Raises:
+        outcome.Failure: It was refused, or its outcome is unknown.
+    """
+    try:
+        result = await control.propose(
+            command, commands.ConfigResult, timeout=timeout
+        )
+    except errors.RequestTimeout as error:
+        raise outcome.Failure(
+            outcome.EXIT_UNKNOWN,
+            [f"{error}", "outcome unknown; running it again is safe"],
+            {"code": "unknown"},
+        ) from error
+    if result.code == "accepted":
+        return result
+    document = {
+        "code": result.code,
+        "version": result.version,
+        "publisher": result.publisher,
+        "digest": result.digest.hex(),
+    }
+    conflict = result.code == "conflict"
+    message = f"{result.code}: {result.message}"
+    if conflict:
+        message += (
+            f" (version {result.version} is by {result.publisher or 'nobody'},"
+            f" digest {result.digest.hex()[:16] or 'none'})"
+        )
+    raise outcome.Failure(
+        outcome.EXIT_CONFLICT if conflict else outcome.EXIT_FAILED,
+        [message],
+        document,
+    )
+
+
+def documents(view: config_view.View) -> dict[str, schema.AnyObject]:
+    """Returns the objects of a view without keys."""
+    return {
+        object_id: item
+        for object_id, item in view.objects.items()
+        if item.kind != "key"
+    }
--- a/src/monsoonhinge/control/machine.py
+++ b/src/monsoonhinge/control/machine.py
@@ -129,6 +129,8 @@
         match section:
             case "config":
                 return self.configuration.document()
+            case "keys":
+                return self.keys.document()
             case "leases":
                 return self.lease_table.document()
             case "decisions":
--- a/src/monsoonhinge/control/state/keys.py
+++ b/src/monsoonhinge/control/state/keys.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import json
+from typing import Any
 
 from monsoonhinge.control.state import configuration
 from monsoonhinge.control.state import rows
@@ -94,6 +95,13 @@
         self.tombstones[grant.hash] = Tombstone(command.name, result.version)
         return result
 
+    def document(self) -> dict[str, Any]:
+        """Returns the keys in effect by name."""
+        return {
+            name: dataclasses.asdict(grant)
+            for name, grant in self.grants.items()
+        }
+
     def to_rows(self) -> Iterator[rows.Row]:
         """Yields the rows of the snapshot."""
         yield [len(self.grants)], b""
