--- /dev/null
+++ b/src/monsoonhinge/bench/policy.py
@@ -0,0 +1,118 @@
+"""Compares the scheduler's policy with the baselines on seeded traces."""
+
+import dataclasses
+import math
+import statistics
+
+import cappa
+
+from monsoonhinge.bench import policies
+from monsoonhinge.bench import replay
+from monsoonhinge.bench import traces
+
+Row = dict[str, float]
+
+# Measures of which a larger value is better.
+_LARGER = {"worst team"}
+
+# Measures that depend on the tokens admitted.
+_OF_TOKENS = {"worst team", "refused %"}
+
+
+@cappa.command(name="policy")
+@dataclasses.dataclass
+class Options:
+    """Prints one table per deployment.
+
+    Attributes:
+        seeds: Number of seeds.
+        duration_s: Length of each trace in seconds.
+    """
+
+    seeds: int = 3
+    duration_s: float = 3600.0
+
+
+def measure(outcome: replay.Outcome, deployment: traces.Deployment) -> Row:
+    """Returns the measures of one replay."""
+    wait_s = sum(outcome.waits_s)
+    return {
+        "p50 s": outcome.wait_s(0.5),
+        "p95 s": outcome.wait_s(0.95),
+        "p99 s": outcome.wait_s(0.99),
+        "idle h": outcome.idle_s / 3600,
+        "worst team": outcome.worst_share(),
+        "refused %": 100 * outcome.wrongly_refused / outcome.within_rate,
+        "cost": (
+            deployment.cold_start_weight * wait_s
+            + deployment.idle_weight * outcome.idle_s
+        )
+        / 1000,
+    }
+
+
+def mean(rows: list[Row]) -> Row:
+    """Returns the mean of each measure."""
+    return {
+        name: statistics.fmean(row[name] for row in rows) for name in rows[0]
+    }
+
+
+def ratios(ours: Row, keep: list[Row], tokens: list[Row]) -> Row:
+    """Returns each measure over that of the baseline which is best at it."""
+    result = {}
+    for name, value in ours.items():
+        pick = max if name in _LARGER else min
+        rows = tokens if name in _OF_TOKENS else keep
+        best = pick(row[name] for row in rows)
+        if best:
+            result[name] = value / best
+        else:
+            result[name] = math.inf if value else 1.0
+    return result
+
+
+def compare(
+    deployment: traces.Deployment, *, seeds: int, duration_s: float
+) -> dict[str, Row]:
+    """Returns the mean measures of every policy and the ratios."""
+    candidates = [
+        policies.OURS,
+        *policies.KEEP_BASELINES,
+        *policies.TOKEN_BASELINES,
+    ]
+    rows: dict[str, list[Row]] = {item.name: [] for item in candidates}
+    for seed in range(1, seeds + 1):
+        trace = traces.generate(deployment, seed=seed, duration_s=duration_s)
+        for candidate in candidates:
+            outcome = replay.Replay(trace, candidate).run()
+            rows[candidate.name].append(measure(outcome, deployment))
+    means = {name: mean(items) for name, items in rows.items()}
+    best = ratios(
+        means[policies.OURS.name],
+        [means[item.name] for item in policies.KEEP_BASELINES],
+        [means[item.name] for item in policies.TOKEN_BASELINES],
+    )
+    return {**means, "ratio to best": best}
+
+
+def main() -> None:
+    """Runs the comparison and prints the tables."""
+    options = cappa.parse(Options)
+    for deployment in traces.DEPLOYMENTS.values():
+        table = compare(
+            deployment, seeds=options.seeds, duration_s=options.duration_s
+        )
+        names = list(next(iter(table.values())))
+        print(
+            f"{deployment.name}: {options.seeds} seeds, "
+            f"{options.duration_s:.0f} s each"
+        )
+        print(f"{'':20}" + "".join(f"{name:>12}" for name in names))
+        for policy, row in table.items():
+            cells = "".join(f"{row[name]:12.3f}" for name in names)
+            print(f"{policy:20}{cells}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/monsoonhinge/scheduler/keepalive.py
+++ b/src/monsoonhinge/scheduler/keepalive.py
@@ -1,6 +1,6 @@
 """How long idle replicas stay and when to load them ahead of a call."""
 
-from collections.abc import Set
+from collections.abc import Iterator, Set
 import dataclasses
 import math
 import typing
@@ -14,6 +14,7 @@
 _BUCKET_RATIO = 1.25
 _BUCKETS = 48
 _EDGES = [_SHORTEST_GAP_S * _BUCKET_RATIO**i for i in range(_BUCKETS)]
+_MIDDLES = [edge * _BUCKET_RATIO**0.5 for edge in _EDGES]
 
 # Older gaps fade, so that a model which changes its habit is learned anew.
 _DECAY = 0.97
@@ -169,10 +170,8 @@
         lowest, highest = policy.min_keep_s, policy.max_keep_s
         best = Plan(keep_s=lowest)
         best_cost = math.inf
-        for keep_s in [lowest, *_EDGES, highest]:
-            if not lowest <= keep_s <= highest:
-                continue
-            cost = _keep_cost(shares, keep_s, idle=idle, cold=cold)
+        for keep_s, held_s, missed in _keep_choices(shares, lowest, highest):
+            cost = idle * held_s + cold * missed
             if cost < best_cost - 1e-9:
                 best, best_cost = Plan(keep_s=keep_s), cost
         if known.gaps.total >= _PREWARM_GAPS:
@@ -191,22 +190,28 @@
     return min(_BUCKETS - 1, int(index))
 
 
-def _keep_cost(
-    shares: list[float], keep_s: float, *, idle: float, cold: float
-) -> float:
-    cost = 0.0
-    for share, edge in zip(shares, _EDGES, strict=True):
-        gap = edge * _BUCKET_RATIO**0.5
-        cost += share * (idle * min(gap, keep_s) + cold * (gap > keep_s))
-    return cost
+def _keep_choices(
+    shares: list[float], lowest: float, highest: float
+) -> Iterator[tuple[float, float, float]]:
+    """Yields keep times, the expected time held and the share missed."""
+    choices = sorted({lowest, highest, *_EDGES})
+    index = 0
+    returned_s = 0.0
+    missed = sum(shares)
+    for keep_s in choices:
+        while index < _BUCKETS and _MIDDLES[index] <= keep_s:
+            returned_s += shares[index] * _MIDDLES[index]
+            missed -= shares[index]
+            index += 1
+        if lowest <= keep_s <= highest:
+            yield keep_s, returned_s + missed * keep_s, missed
 
 
 def _warm_cost(
     shares: list[float], plan: Plan, *, idle: float, cold: float
 ) -> float:
     cost = 0.0
-    for share, edge in zip(shares, _EDGES, strict=True):
-        gap = edge * _BUCKET_RATIO**0.5
+    for share, gap in zip(shares, _MIDDLES, strict=True):
         held = min(gap, plan.keep_s) + max(
             0.0, min(gap, plan.warm_until_s) - plan.warm_from_s
         )
