--- a/src/monsoonhinge/gateway/attempts.py
+++ b/src/monsoonhinge/gateway/attempts.py
@@ -145,6 +145,7 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         self._reporter.started(job)
+        sent_before, job.sent = job.sent, True
         try:
             answer = await self.forwarder.send(
                 dataclasses.replace(
@@ -155,6 +156,7 @@
                 )
             )
         except forward.NotSent as error:
+            job.sent = sent_before
             self.eject(slot, "unreachable")
             failure = retry.Failure(repeatable=repeatable, sent=False)
             return failure, unreachable(error)
--- a/src/monsoonhinge/gateway/callers.py
+++ b/src/monsoonhinge/gateway/callers.py
@@ -37,6 +37,8 @@
     r"%2[fF]|%5[cC]|%00|%(?![0-9a-fA-F]{2})|[\\#;\x00-\x20\x7f-\uffff]"
 )
 
+_REQUEST_ID = web.RequestKey("request_id", str)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -81,12 +83,12 @@
 
 def request_id(request: web.Request) -> str:
     """Returns the request's id, made once if the caller sent none."""
-    known: str | None = request.get("request_id")
+    known: str | None = request.get(_REQUEST_ID)
     if known is None:
         sent = request.headers.get("X-Request-Id", "")
         usable = 0 < len(sent) <= 128 and sent.isascii() and sent.isprintable()
         known = sent if usable else uuid.uuid4().hex
-        request["request_id"] = known
+        request[_REQUEST_ID] = known
     return known
 
 
--- a/src/monsoonhinge/gateway/dispatch.py
+++ b/src/monsoonhinge/gateway/dispatch.py
@@ -35,6 +35,7 @@
             more; called at dispatch.
         charge: Tokens taken for it, once charged.
         avoid: Targets that failed it.
+        sent: Whether a byte of it may have left for a target.
     """
 
     need: routing.Need
@@ -47,6 +48,7 @@
     recheck: Callable[[], None]
     charge: wallet.Charge | None = None
     avoid: set[str] = dataclasses.field(default_factory=set)
+    sent: bool = False
 
     @property
     def lane(self) -> str:
--- a/src/monsoonhinge/gateway/models.py
+++ b/src/monsoonhinge/gateway/models.py
@@ -101,7 +101,7 @@
                 reason = session.ended()
                 if reason is None:
                     raise
-                raise refusal.unfinished(reason) from None
+                raise refusal.unfinished(reason, sent=job.sent) from None
             return await self._relay(request, attempt, session, prompt)
 
     async def _relay(
--- a/src/monsoonhinge/gateway/process.py
+++ b/src/monsoonhinge/gateway/process.py
@@ -35,6 +35,8 @@
 _TICK_S = 0.1
 # A load balancer needs this long to see that the gateway is not ready.
 _DRAIN_NOTICE_S = 1.0
+# Requests have ended before the connections are closed.
+_SHUTDOWN_TIMEOUT_S = 1.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -283,6 +285,7 @@
             logger=silent,
             handler_cancellation=True,
             auto_decompress=False,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
         await runner.setup()
         await web.TCPSite(runner, address.host, address.port).start()
--- a/src/monsoonhinge/gateway/refusal.py
+++ b/src/monsoonhinge/gateway/refusal.py
@@ -65,15 +65,20 @@
         )
 
 
-def unfinished(reason: Refusal) -> Refusal:
-    """Returns the refusal of a request that was ended while it may run."""
+def unfinished(reason: Refusal, *, sent: bool) -> Refusal:
+    """Returns the refusal of a request that the gateway ended.
+
+    Args:
+        reason: Why it was ended.
+        sent: Whether it may be running at a target.
+    """
     return Refusal(
         reason.message,
         status=reason.status,
         code=reason.code,
-        not_run="unknown",
+        not_run="unknown" if sent else True,
         retry_after_s=reason.retry_after_s,
-        step="forward",
+        step="forward" if sent else "queue",
     )
 
 
--- a/src/monsoonhinge/gateway/relay.py
+++ b/src/monsoonhinge/gateway/relay.py
@@ -105,7 +105,7 @@
         # Without the last chunk the caller also sees a truncated answer. The
         # transport sends what it holds before it closes; a caller that does
         # not read is cut off.
-        if self._response.chunked:
+        if "Transfer-Encoding" in self._response.headers:
             event = b"%x\r\n%b\r\n" % (len(event), event)
         transport.write(event)
         transport.close()
--- a/src/monsoonhinge/gateway/services.py
+++ b/src/monsoonhinge/gateway/services.py
@@ -112,7 +112,7 @@
                 reason = session.ended()
                 if reason is None:
                     raise
-                raise refusal.unfinished(reason) from None
+                raise refusal.unfinished(reason, sent=job.sent) from None
             passed = relay.Relay(request=request, attempt=attempt)
             try:
                 return await passed.run(session, job.deadline)
