--- a/src/monsoonhinge/bench/demo.py
+++ b/src/monsoonhinge/bench/demo.py
@@ -20,7 +20,7 @@
 BAR_KEY = "bar-key-for-the-demo"
 DRIVER_KEY = "driver-key-for-the-demo"
 
-CONTROLS = 1
+CONTROLS = 3
 
 _START_TIMEOUT_S = 30.0
 
--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -141,8 +141,7 @@
                 control=cluster.members(name, members),
                 schedulers=scheduler_addresses,
                 key_secret=KEY_SECRET,
-                # The scheduler does not grant tokens yet.
-                **{"enforce_budgets": False, **(gateway or {})},
+                **(gateway or {}),
             )
         further = dict(engine or {})
         if stores:
--- a/tests/consensus/test_raft.py
+++ b/tests/consensus/test_raft.py
@@ -4,9 +4,9 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
-from tests.consensus import cluster
 
 from monsoonhinge.consensus import progress
+from tests.consensus import cluster
 
 _names = st.sampled_from(cluster.NAMES)
 
--- a/tests/consensus/test_rules.py
+++ b/tests/consensus/test_rules.py
@@ -3,7 +3,6 @@
 import random
 
 import pytest
-from tests.consensus import cluster
 
 from monsoonhinge.consensus import leader
 from monsoonhinge.consensus import log
@@ -12,6 +11,7 @@
 from monsoonhinge.consensus import state
 from monsoonhinge.consensus import types
 from monsoonhinge.protocol import messages
+from tests.consensus import cluster
 
 _MEMBERS = types.Configuration(
     tuple(types.Member(name, "1") for name in cluster.NAMES)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -6,12 +6,12 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
-from tests.consensus import cluster
 
 from monsoonhinge.consensus import files as storage_files
 from monsoonhinge.consensus import storage
 from monsoonhinge.consensus import types
 from monsoonhinge.protocol import messages
+from tests.consensus import cluster
 
 _LOG = "log-0000000001"
 
--- a/tests/features/deployment.py
+++ b/tests/features/deployment.py
@@ -13,7 +13,7 @@
 from monsoonhinge.bench import operators
 from monsoonhinge.bench import polling
 
-CONTROLS = 1
+CONTROLS = 3
 GATEWAYS = 3
 ENGINES = ("engine-0", "engine-1")
 SERVICES = ("service-0", "service-1")
@@ -99,7 +99,7 @@
             engines=2,
             services=2,
             stores=1,
-            relayed=[],
+            relayed=[f"control-{CONTROLS - 1}"],
             engine={
                 "load_s": 1.0,
                 "announce_s": 0.5,
--- /dev/null
+++ b/tests/features/steady.py
@@ -0,0 +1,77 @@
+"""A steady load beside what a scenario does."""
+
+import asyncio
+import threading
+import time
+from typing import Any
+
+import deployment
+
+from monsoonhinge.bench import load
+from monsoonhinge.bench import plan as plans
+
+_MAX_S = 120.0
+
+
+class Load:
+    """Sends requests behind a load balancer until it is finished.
+
+    Attributes:
+        report: The report, once finished.
+    """
+
+    def __init__(
+        self, system: deployment.Deployment, *, model: str, rate: float = 20.0
+    ) -> None:
+        gateways = system.cluster.of("gateway")
+        common: dict[str, Any] = {
+            "key": "key-of-the-bars",
+            "timeout_s": 20,
+            "rate_per_s": rate / 2,
+        }
+        self.report: dict[str, Any] = {}
+        self._plan = plans.Plan.model_validate(
+            {
+                "gateways": [node.url("callers") for node in gateways],
+                "operations": [node.operations for node in gateways],
+                "duration_s": _MAX_S,
+                "flows": [
+                    {
+                        **common,
+                        "name": "streams",
+                        "route": f"{model}-route",
+                        "stream": True,
+                        "max_tokens": 100,
+                    },
+                    {
+                        **common,
+                        "name": "calls",
+                        "route": "ledger",
+                        "kind": "call",
+                        "path": "/depots",
+                    },
+                ],
+            }
+        )
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def finish(self, *, at: float = 0.0) -> None:
+        """Ends the load, not before a monotonic time."""
+        self._stop.wait(max(0.0, at - time.monotonic()))
+        self._stop.set()
+        self._thread.join(60)
+        assert self.report, "the load did not end"
+
+    def check(self) -> None:
+        """Fails if a request was not answered whole."""
+        outcomes = self.report["all"]["outcomes"]
+        assert set(self.report["flows"]) == {"streams", "calls"}
+        assert set(outcomes) == {"ok"}, self.report["all"]
+        assert not self.report["not_sent"]
+
+    def _run(self) -> None:
+        self.report = asyncio.run(
+            load.run(self._plan, stopping=self._stop.is_set)
+        )
