--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -4,9 +4,8 @@
 import json
 
 import aiohttp
-import pytest
-
 from gateway import standins
+import pytest
 
 
 async def test_key_reaches_no_target() -> None:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -3,12 +3,12 @@
 import asyncio
 import json
 
+from gateway import standins
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 import uvloop
 
-from gateway import standins
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 
