--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -102,7 +102,11 @@
         self._machine = machine
         self._transport = transport
         self._timing = timing
-        self._snapshot_entries = snapshot_entries
+        # Taking a snapshot blocks the loop; members that took it at the same
+        # index would all stall at once.
+        self._snapshot_entries = snapshot_entries + rng.randrange(
+            snapshot_entries // 4 + 1
+        )
         self._writer = futures.ThreadPoolExecutor(
             max_workers=1, thread_name_prefix="storage"
         )
