Import shared test modules by their full path

Cause: each part of the tests found its shared modules in its own way, and tests/gateway could not be collected together with the others. Ruled out: the importlib mode of pytest, which leaves shared modules without a package.

--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tool, relays and traces."""
--- /dev/null
+++ b/tests/features/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system with real processes."""
--- a/tests/features/test_targets.py
+++ b/tests/features/test_targets.py
@@ -4,9 +4,10 @@
 import time
 from typing import Any
 
-import deployment
 import pytest_bdd
 
+from tests.features import deployment
+
 pytest_bdd.scenarios("targets.feature")
 
 parse = pytest_bdd.parsers.parse
--- /dev/null
+++ b/tests/path/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the path of a request."""
--- a/tests/scheduler/test_scheduler_decisions.py
+++ b/tests/scheduler/test_scheduler_decisions.py
@@ -3,9 +3,9 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
-import scheduler_world as world
 
 from monsoonhinge.scheduler import ledger as replica_ledger
+from tests.scheduler import scheduler_world as world
 
 _TARGETS = st.integers(0, 2)
 _MODELS = st.sampled_from(["m0", "m1", "m2", "m3"])
--- a/tests/scheduler/test_scheduler_policy.py
+++ b/tests/scheduler/test_scheduler_policy.py
@@ -3,7 +3,6 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
-import scheduler_world as world
 
 from monsoonhinge.config import schema
 from monsoonhinge.protocol import messages
@@ -12,6 +11,7 @@
 from monsoonhinge.scheduler import keepalive
 from monsoonhinge.scheduler import verdicts
 from monsoonhinge.scheduler import weightstore
+from tests.scheduler import scheduler_world as world
 
 _LIMITS = schema.Store(name="s", loads_per_s=4, concurrent_loads=2)
 
--- a/tests/scheduler/test_scheduler_process.py
+++ b/tests/scheduler/test_scheduler_process.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from aiohttp import web
-import scheduler_world as world
 
 from monsoonhinge.config import schema
 from monsoonhinge.config import validate
@@ -20,6 +19,7 @@
 from monsoonhinge.scheduler import directory
 from monsoonhinge.scheduler import process
 from monsoonhinge.scheduler import subscriptions
+from tests.scheduler import scheduler_world as world
 
 _SECRET = "0123456789abcdef"
 
