Repeat a request that an engine refused because it unloaded the model

Cause: an engine answers 404 when the model was unloaded, or the engine restarted, after its last announcement; the gateway passed that answer on. Ruled out: an answer cut by the restarting gateway, since the body was the engine's own text. The answer now counts as a refusal before the run, as 429 and 503 do, and the request goes to another replica or waits for one.

--- a/src/monsoonhinge/gateway/attempts.py
+++ b/src/monsoonhinge/gateway/attempts.py
@@ -12,9 +12,10 @@
 from monsoonhinge.gateway import refusal
 from monsoonhinge.gateway import retry
 
-# An engine that answers so has not run the request. A plain service may have
-# run a part of it, so its answer goes to the caller.
-_REFUSED_STATUSES = frozenset({429, 503})
+# An engine that answers so has not run the request; with 404 it has unloaded
+# the model since its last announcement. A plain service may have run a part of
+# the request, so its answer goes to the caller.
+_REFUSED_STATUSES = frozenset({404, 429, 503})
 
 _LOG = logging.getLogger(__name__)
 
