--- a/src/monsoonhinge/scheduler/budget.py
+++ b/src/monsoonhinge/scheduler/budget.py
@@ -15,8 +15,10 @@
 # A grant covers this much of a gateway's demand beyond what waits now.
 PREFETCH_S = 0.5
 
-# Share of a bucket that stays for gateways that did not ask yet.
+# Share of the burst that stays for gateways that did not ask yet.
 _UNASKED_SHARE = 0.5
+# Share of the burst from which a larger need is met in part.
+_PARTIAL_SHARE = 0.5
 _DEMAND_SMOOTHING_S = 2.0
 _GRANTS_PER_LEASE = 2**24
 _MIN_RETRY_MS = 20
@@ -138,7 +140,13 @@
             demand.add(needed, now)
         available = int(max(0.0, bucket.level))
         tokens = min(needed, available)
-        if needed:
+        if available < min(
+            request.wanted, bucket.team.burst_tokens * _PARTIAL_SHARE
+        ):
+            # Part of what a request needs would only be held back from
+            # smaller requests at other gateways.
+            tokens = 0
+        elif needed:
             tokens += self._prefetch(bucket, demand, available - tokens)
         tokens = min(tokens, bucket.committed - bucket.granted)
         if tokens <= 0:
@@ -224,11 +232,13 @@
         bucket.level = min(bucket.team.burst_tokens, bucket.level + returned)
 
     def _prefetch(self, bucket: Bucket, demand: _Demand, spare: int) -> int:
-        """Returns extra tokens for the demand expected soon."""
-        if spare <= 0:
-            return 0
+        """Returns extra tokens for the demand expected soon.
+
+        Part of the burst stays in the bucket for gateways that did not ask.
+        """
+        kept = bucket.team.burst_tokens * _UNASKED_SHARE
         gateways = max(1, len(bucket.demand))
-        share = spare * _UNASKED_SHARE / gateways
+        share = max(0.0, (spare - kept) / gateways)
         return int(min(demand.rate * PREFETCH_S, share))
 
     def _retry_ms(self, bucket: Bucket, short: int) -> int:
--- a/src/monsoonhinge/scheduler/keepalive.py
+++ b/src/monsoonhinge/scheduler/keepalive.py
@@ -19,12 +19,15 @@
 # Older gaps fade, so that a model which changes its habit is learned anew.
 _DECAY = 0.97
 
+# Memory use from which an idle replica costs more, up to twice as much.
+_SCARCE_FROM = 0.8
+
 # Weight of all models' gaps in the estimate for a model with few calls.
-_PRIOR_GAPS = 3.0
+_PRIOR_GAPS = 1.0
 
 # Share of the gaps that pre-warming may miss on each side.
 _MISSED_SHARE = 0.05
-_PREWARM_GAPS = 6.0
+_PREWARM_GAPS = 3.0
 
 # Span over which the chance of a call counts against an eviction.
 _EVICTION_HORIZON_S = 60.0
@@ -166,7 +169,8 @@
         policy = self.policy
         shares = self._shares(known)
         cold = policy.cold_start_weight * load_s
-        idle = policy.idle_weight * (1.0 + pressure)
+        scarcity = max(0.0, pressure - _SCARCE_FROM) / (1.0 - _SCARCE_FROM)
+        idle = policy.idle_weight * (1.0 + scarcity)
         lowest, highest = policy.min_keep_s, policy.max_keep_s
         best = Plan(keep_s=lowest)
         best_cost = math.inf
--- a/src/monsoonhinge/scheduler/placement.py
+++ b/src/monsoonhinge/scheduler/placement.py
@@ -60,6 +60,32 @@
     excluded: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass(slots=True)
+class _Room:
+    """What a placement needs to know about a target.
+
+    Attributes:
+        state: The target as announced.
+        free: Bytes that are neither reserved nor promised.
+        releasing: Bytes that unloads in progress will free.
+        reserved: Whether anything is reserved on it.
+        loading: Loads in progress.
+        queued_s: Cost of the requests that wait in its engines.
+        tiers: Fastest local tier by model and version.
+    """
+
+    state: messages.TargetState
+    free: int
+    releasing: int
+    reserved: bool
+    loading: int
+    queued_s: float
+    tiers: dict[tuple[str, str], str]
+
+
+_Offer = tuple[float, str, list[replica_ledger.Replica]]
+
+
 class Placer:
     """Compares targets for one planning step.
 
@@ -86,7 +112,7 @@
         """
         self.promised: dict[str, int] = {}
         self._ledger = ledger
-        self._targets = list(targets)
+        self._rooms = {state.target: self._measure(state) for state in targets}
         self._load_s = load_s
         self._eviction_cost = eviction_cost
 
@@ -94,75 +120,98 @@
         self, request: Request, *, evict: bool = True
     ) -> Placement | None:
         """Returns the cheapest placement, or None if there is none now."""
+        load_s = {
+            tier: self._load_s(request.model, tier)
+            for tier in ("memory", "disk", "remote")
+        }
         best: tuple[float, int, str] | None = None
-        result = None
-        for state in self._targets:
-            if state.target in request.excluded:
+        found: _Offer | None = None
+        for name, room in self._rooms.items():
+            missing = request.reserved_bytes - room.free
+            if (missing > room.releasing and not (evict and room.reserved)) or (
+                name in request.excluded
+            ):
                 continue
-            placement = self._on(state, request, evict)
-            if placement is None:
+            offer = self._on(room, request, load_s)
+            if offer is None:
                 continue
-            left = self.free(state) - request.reserved_bytes
             # Equal costs fill the fullest target, which leaves large gaps
             # for large models.
-            rank = (round(placement.cost, 6), left, state.target)
+            rank = (round(offer[0], 6), -missing, name)
             if best is None or rank < best:
-                best, result = rank, placement
-        return result
+                best, found = rank, offer
+        if best is None or found is None:
+            return None
+        cost, tier, victims = found
+        return Placement(
+            target=best[2],
+            tier=tier,
+            load_s=load_s[tier],
+            ready=best[1] >= 0,
+            evict=victims,
+            cost=cost,
+        )
 
     def fits_anywhere(self, request: Request) -> bool:
         """Returns whether any target is large enough when it is empty."""
         return any(
-            state.memory_bytes >= request.reserved_bytes
-            for state in self._targets
-        )
-
-    def free(self, state: messages.TargetState) -> int:
-        """Returns bytes that are neither reserved nor promised."""
-        return (
-            state.memory_bytes
-            - self._ledger.reserved(state.target)
-            - self.promised.get(state.target, 0)
+            room.state.memory_bytes >= request.reserved_bytes
+            for room in self._rooms.values()
         )
 
     def promise(self, target: str, size: int) -> None:
         """Keeps memory for a load that waits for an unload."""
         self.promised[target] = self.promised.get(target, 0) + size
+        self.refresh(target)
+
+    def refresh(self, target: str) -> None:
+        """Takes a decision about a target into account."""
+        room = self._rooms.get(target)
+        if room is not None:
+            self._rooms[target] = self._measure(room.state)
+
+    def _measure(self, state: messages.TargetState) -> _Room:
+        held = self._ledger.on_target(state.target)
+        reserved = self._ledger.reserved(state.target)
+        tiers = {
+            (item.model, item.version): item.tier
+            for tier in ("disk", "memory")
+            for item in state.cached
+            if item.tier == tier
+        }
+        return _Room(
+            state=state,
+            free=state.memory_bytes
+            - reserved
+            - self.promised.get(state.target, 0),
+            releasing=self._ledger.releasing(state.target),
+            reserved=reserved > 0,
+            loading=sum(replica.state == "loading" for replica in held),
+            queued_s=_QUEUED_S * sum(replica.waiting for replica in held),
+            tiers=tiers,
+        )
 
     def _on(
-        self, state: messages.TargetState, request: Request, evict: bool
-    ) -> Placement | None:
-        missing = request.reserved_bytes - self.free(state)
+        self, room: _Room, request: Request, load_s: dict[str, float]
+    ) -> _Offer | None:
+        """Returns cost, tier and replicas to unload, or None."""
+        missing = request.reserved_bytes - room.free
         victims: list[replica_ledger.Replica] = []
-        cost = 0.0
+        cost = room.queued_s
         if missing > 0:
             cost += _UNLOAD_S
-            missing -= self._ledger.releasing(state.target)
+            missing -= room.releasing
         if missing > 0:
-            if not evict:
-                return None
-            chosen = self._victims(state.target, missing)
+            chosen = self._victims(room.state.target, missing)
             if chosen is None:
                 return None
             victims, lost = chosen
             cost += lost
-        tier = checkpoint_tier(state, request.model, request.version)
-        load_s = self._load_s(request.model, tier)
-        held = self._ledger.on_target(state.target)
-        loading = sum(replica.state == "loading" for replica in held)
-        queued = sum(replica.waiting for replica in held)
-        cost += load_s * (1.0 + _LOADING_SHARE * loading)
-        cost += _QUEUED_S * queued
-        if state.availability_zone in request.zones:
-            cost += _SAME_ZONE_SHARE * load_s
-        return Placement(
-            target=state.target,
-            tier=tier,
-            load_s=load_s,
-            ready=request.reserved_bytes <= self.free(state),
-            evict=victims,
-            cost=cost,
-        )
+        tier = room.tiers.get((request.model, request.version), "remote")
+        cost += load_s[tier] * (1.0 + _LOADING_SHARE * room.loading)
+        if room.state.availability_zone in request.zones:
+            cost += _SAME_ZONE_SHARE * load_s[tier]
+        return cost, tier, victims
 
     def _victims(
         self, target: str, missing: int
@@ -198,21 +247,6 @@
     return cost / size, replica.replica_id
 
 
-def checkpoint_tier(
-    state: messages.TargetState, model: str, version: str
-) -> str:
-    """Returns the fastest tier from which a target can load a checkpoint."""
-    tiers = {
-        item.tier
-        for item in state.cached
-        if (item.model, item.version) == (model, version)
-    }
-    for tier in ("memory", "disk"):
-        if tier in tiers:
-            return tier
-    return "remote"
-
-
 def replicas_needed(
     model: schema.Model, *, waiting: int, running: int, loaded: int
 ) -> int:
--- a/src/monsoonhinge/scheduler/planner.py
+++ b/src/monsoonhinge/scheduler/planner.py
@@ -19,6 +19,9 @@
 Needs = dict[demand_book.Key, demand_book.Need]
 
 
+# Bounds the time of a planning step; the rest follows in the next ones.
+_PLACED_PER_STEP = 64
+
 # A target that failed to load a model is left out for this model meanwhile.
 _RETRY_S = 5.0
 
@@ -155,6 +158,7 @@
         now: float,
     ) -> None:
         self.result = Plan()
+        self._awaiting_room = 0
         self._planner = planner
         self._ledger = planner.ledger
         self._store = planner.store
@@ -162,6 +166,9 @@
         self._engines = engines
         self._needs = needs
         self._now = now
+        self._keys: dict[str, list[demand_book.Key]] = {}
+        for key in needs:
+            self._keys.setdefault(key[0], []).append(key)
         self._residency = residency.Residency(
             ledger=planner.ledger,
             store=planner.store,
@@ -197,8 +204,13 @@
         wanted = self._wanted()
         ordered = self._store.order(wanted)
         ready_at = self._store.ready_times(ordered, self._now)
-        for item, ready in zip(ordered, ready_at, strict=True):
-            self._place(item, ready)
+        for number, (item, ready) in enumerate(
+            zip(ordered, ready_at, strict=True)
+        ):
+            if number < _PLACED_PER_STEP:
+                self._place(item, ready)
+            else:
+                self._expect(item.model, verdicts.Expectation(ready))
         self._expect_loading()
         for name in self._residency.predicted(self._planner._warmed):
             model = self._view.models[name]
@@ -238,11 +250,8 @@
 
     def _wanted(self) -> list[weightstore.Wanted]:
         result = []
-        by_model: dict[str, list[demand_book.Need]] = {}
-        for (name, _), need in self._needs.items():
-            by_model.setdefault(name, []).append(need)
         for name, model in self._view.models.items():
-            needs = by_model.get(name, [])
+            needs = [self._needs[key] for key in self._keys.get(name, [])]
             if not needs and not model.min_replicas:
                 continue
             waiting = sum(need.waiting for need in needs)
@@ -296,9 +305,14 @@
                 self._load(model, chosen)
                 self._store.charge(item.team)
                 return
-        elif chosen.tier != "remote" or self._store.free_slots() > 0:
+        elif (
+            chosen.tier != "remote"
+            or self._store.free_slots() > self._awaiting_room
+        ):
+            # Room is made only for loads that can follow at once.
             for replica in chosen.evict:
                 self._unload(replica)
+        self._awaiting_room += 1
         self._placer.promise(chosen.target, request.reserved_bytes)
 
     def _may(self, chosen: placement.Placement) -> bool:
@@ -329,6 +343,7 @@
 
     def _decide(self, change: commands.ReplicaChange) -> None:
         self._ledger.apply(change, self._now)
+        self._placer.refresh(change.target)
         self.result.changes.append(change)
 
     def _request(self, model: schema.Model) -> placement.Request:
@@ -368,8 +383,8 @@
                 self._expect(model, verdicts.Expectation(min(expected)))
 
     def _expect(self, model: str, expected: verdicts.Expectation) -> None:
-        for key, need in self._needs.items():
-            if key[0] == model and need.waiting:
+        for key in self._keys.get(model, []):
+            if self._needs[key].waiting:
                 self.result.expectations[key] = expected
 
 
--- a/src/monsoonhinge/scheduler/weightstore.py
+++ b/src/monsoonhinge/scheduler/weightstore.py
@@ -17,6 +17,7 @@
 
 _SPEED_SMOOTHING = 0.3
 _EPSILON = 1e-9
+_STEP_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,7 +200,9 @@
     def _fill(self, now: float) -> None:
         if now > self._filled_at:
             gained = (now - self._filled_at) * self.limits.loads_per_s
-            self._tokens = min(RATE_BURST, self._tokens + gained)
+            # Planning steps are apart, so a fast store needs more than one.
+            burst = max(RATE_BURST, self.limits.loads_per_s * _STEP_S)
+            self._tokens = min(burst, self._tokens + gained)
             self._filled_at = now
 
 
