Give the budget lease up after an unconfirmed checkpoint

Cause: a checkpoint that was not confirmed in time could reach the log after a later one and lower the recorded total.

The holder now gives the lease up and takes a new one, so that the log refuses the late checkpoint. The decision id of an adapter is documented where the command is defined.

--- a/src/monsoonhinge/protocol/commands.py
+++ b/src/monsoonhinge/protocol/commands.py
@@ -129,9 +129,10 @@
     """One change of the decided replicas.
 
     ``action`` is ``load`` or ``unload``, ``load_adapter`` or
-    ``unload_adapter`` (both for an adapter of the replica decided under
-    ``decision_id``), or ``settled`` once the target itself has reported that
-    the replica is gone or the adapter is loaded or gone.
+    ``unload_adapter``, or ``settled`` once the target itself has reported
+    that the replica is gone or the adapter is loaded or gone. The
+    ``decision_id`` of an adapter is the id of its replica's decision, a slash
+    and a unique suffix; it is settled on its own.
     """
 
     action: str = ""
--- a/src/monsoonhinge/scheduler/holder.py
+++ b/src/monsoonhinge/scheduler/holder.py
@@ -7,6 +7,7 @@
 from monsoonhinge.control import client as control_client
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
 from monsoonhinge.scheduler import budget
 from monsoonhinge.scheduler import leases
 from monsoonhinge.scheduler import metrics
@@ -81,14 +82,8 @@
             if held is None or not self.lease.held(loop.time()):
                 return _not_holder()
             checkpoint = held.checkpoint_needed(request, loop.time())
-            if checkpoint is not None:
-                result = await self._control.propose(
-                    checkpoint, commands.Accepted, timeout=_COMMIT_TIMEOUT_S
-                )
-                if not result.accepted:
-                    self.lease.lose()
-                    return _not_holder()
-                held.committed(checkpoint)
+            if checkpoint is not None and not await self._commit(checkpoint):
+                return _not_holder()
             # The lease may have ended during the commit.
             if self.budget is not held or not self.lease.held(loop.time()):
                 return _not_holder()
@@ -99,6 +94,28 @@
             metrics.EMPTY_GRANTS.labels(request.team).inc()
         return reply
 
+    async def _commit(self, checkpoint: commands.CheckpointBudget) -> bool:
+        """Commits a checkpoint; returns whether the lease still holds."""
+        held = self.budget
+        assert held is not None
+        try:
+            result = await self._control.propose(
+                checkpoint, commands.Accepted, timeout=_COMMIT_TIMEOUT_S
+            )
+        except errors.MonsoonhingeError:
+            # Under the same number it could still replace a later one.
+            self._give_up()
+            raise
+        if not result.accepted:
+            self._give_up()
+            return False
+        held.committed(checkpoint)
+        return True
+
+    def _give_up(self) -> None:
+        self.budget = None
+        self.lease.lose()
+
     def dump(self) -> dict[str, Any]:
         """Returns the buckets for operators."""
         if self.budget is None:
