--- a/tests/scheduler/test_scheduler_decisions.py
+++ b/tests/scheduler/test_scheduler_decisions.py
@@ -347,3 +347,22 @@
         case.check()
     replica = next(iter(case.targets["t0"].replicas.values()))
     assert len(replica.adapters) == 2
+
+
+def test_adapter_loads_in_flight_hold_across_failover() -> None:
+    """Guards against more adapter loads than the store serves at a time."""
+    case = _ready_world(concurrent_adapter_loads=1)
+    case.ask("m0", 1)
+    case.settle(8)
+    for _ in range(2):
+        case.ask("m0", 1, "a0")
+        case.ask("m0", 1, "a1")
+        _quiet(case, 0.3)
+        case.plan()
+        loads = [
+            change
+            for change in case.log.decisions.values()
+            if change.action == "load_adapter"
+        ]
+        assert len(loads) == 1
+        case.fail_over()
--- a/tests/scheduler/test_scheduler_process.py
+++ b/tests/scheduler/test_scheduler_process.py
@@ -230,6 +230,36 @@
     asyncio.run(fleet.run(body))
 
 
+def test_standby_takes_over_after_a_crash(tmp_path: pathlib.Path) -> None:
+    """Guards against demand that no scheduler serves after a crash."""
+    fleet = _Fleet(tmp_path)
+
+    async def body() -> None:
+        await fleet.until(lambda: fleet.active() is not None)
+        first = fleet.active()
+        assert first is not None and first.active is not None
+        assert first.active.core is not None
+        fencing = first.active.core.orders.fencing
+        await first.stop()
+        first.active = None
+        demand = messages.Demand(
+            gateway="g",
+            items=[messages.DemandItem(model="m1", team="a", waiting=1)],
+        )
+
+        def ordered() -> bool:
+            for peer in fleet.peers:
+                if peer.connection is not None:
+                    peer.notify(demand)
+            return bool(fleet.orders)
+
+        await fleet.until(ordered)
+        assert fleet.orders[0]["fencing"] > fencing
+        assert fleet.orders[0]["model"] == "m1"
+
+    asyncio.run(fleet.run(body))
+
+
 def test_load_changes_are_coalesced() -> None:
     """Guards against a directory stream beyond the gateways' byte budget."""
     link = _Link()
