--- a/src/monsoonhinge/config/view.py
+++ b/src/monsoonhinge/config/view.py
@@ -1,6 +1,6 @@
 """Indexed, read-only view of a configuration for the request path."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 import dataclasses
 import functools
 import hashlib
@@ -11,6 +11,18 @@
 
 _Object = TypeVar("_Object", bound=schema.Object)
 
+# Cached index by the kind of its objects.
+_INDEXES = {
+    "model": "models",
+    "adapter": "adapters",
+    "team": "teams",
+    "route": "routes",
+    "service": "services",
+    "key": "keys_by_hash",
+    "store": "store",
+    "policy": "policy",
+}
+
 _DEFAULT_STORE = schema.Store(name="default", loads_per_s=4.0)
 _DEFAULT_POLICY = schema.Policy(name="default")
 
@@ -75,6 +87,37 @@
             return self.adapters[route.adapter].model, route.adapter
         return route.model or "", ""
 
+    def changed(
+        self,
+        *,
+        version: int,
+        upserts: Iterable[schema.AnyObject],
+        deletes: Iterable[str],
+    ) -> "View":
+        """Returns the configuration after a change.
+
+        Indexes of kinds that the change does not touch are shared, since
+        making all of them again delays requests at 38,000 objects by 60 ms.
+
+        Args:
+            version: New version.
+            upserts: New and changed objects.
+            deletes: Ids of removed objects.
+        """
+        objects = dict(self.objects)
+        kinds = set()
+        for object_id in deletes:
+            objects.pop(object_id, None)
+            kinds.add(object_id.partition("/")[0])
+        for item in upserts:
+            objects[schema.object_id(item)] = item
+            kinds.add(item.kind)
+        result = View(version=version, objects=objects)
+        for kind, index in _INDEXES.items():
+            if kind not in kinds and index in self.__dict__:
+                result.__dict__[index] = self.__dict__[index]
+        return result
+
     def _of(self, cls: type[_Object]) -> dict[str, _Object]:
         return {
             item.name: item
--- a/src/monsoonhinge/control/machine.py
+++ b/src/monsoonhinge/control/machine.py
@@ -1,5 +1,6 @@
 """Deterministic state machine behind the replicated log."""
 
+from collections.abc import Callable
 import struct
 from typing import Any
 
@@ -146,16 +147,30 @@
 
     def snapshot(self) -> bytes:
         """Returns the whole state; equal states have equal bytes."""
-        return b"".join(
-            [
-                _HEADER.pack(_FORMAT, self.index),
-                rows.encode(self.configuration.to_rows()),
-                rows.encode(self.keys.to_rows()),
-                rows.encode(self.lease_table.to_rows()),
-                rows.encode(self.call_table.to_rows()),
-                rows.encode(self.decision_table.to_rows()),
-                rows.encode(self.budget_table.to_rows()),
-            ]
+        return self.capture()()
+
+    def capture(self) -> Callable[[], bytes]:
+        """Captures the whole state without encoding it.
+
+        Returns:
+            Encodes the captured state. It may run in another thread while
+            commands are applied, since encoding hundreds of megabytes takes
+            longer than an election timeout.
+        """
+        header = _HEADER.pack(_FORMAT, self.index)
+        tables = [
+            rows.copy_table(table)
+            for table in (
+                self.configuration,
+                self.keys,
+                self.lease_table,
+                self.call_table,
+                self.decision_table,
+                self.budget_table,
+            )
+        ]
+        return lambda: b"".join(
+            [header, *(rows.encode(table.to_rows()) for table in tables)]
         )
 
     def restore(self, data: bytes) -> None:
--- a/src/monsoonhinge/control/mirror.py
+++ b/src/monsoonhinge/control/mirror.py
@@ -117,14 +117,11 @@
         self, version: int, objects: list[bytes], deletes: list[str] | None
     ) -> None:
         """Makes a version out of all objects, or of a change if deletes."""
-        changed = [schema.parse_json(data) for data in objects]
-        parsed: dict[str, schema.AnyObject] = {}
-        if deletes is not None:
-            parsed.update(self.view.objects)
-            for object_id in deletes:
-                parsed.pop(object_id, None)
-        parsed.update((schema.object_id(item), item) for item in changed)
-        self.view = config_view.View(version=version, objects=parsed)
+        items = [schema.parse_json(data) for data in objects]
+        base = config_view.View() if deletes is None else self.view
+        self.view = base.changed(
+            version=version, upserts=items, deletes=deletes or ()
+        )
 
 
 def _out_of_order(reason: str) -> errors.ProtocolError:
--- a/src/monsoonhinge/control/state/calls.py
+++ b/src/monsoonhinge/control/state/calls.py
@@ -15,9 +15,9 @@
 Key = tuple[str, str, str]
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """Record of a call.
+    """Record of a call; replaced on every change.
 
     ``state`` is ``running``, ``finished``, ``answer_not_kept`` or ``unknown``.
     """
@@ -138,10 +138,10 @@
                 call.claimed_ms,
                 call.state,
                 call.status,
-                len(call.headers),
+                call.headers.hex(),
                 places.get(key, -1),
             ]
-            yield fields, call.headers + call.body
+            yield fields, call.body
 
     @classmethod
     def from_rows(cls, table: Iterator[rows.Row]) -> "Calls":
@@ -149,11 +149,11 @@
         result = cls()
         (result.limit_bytes,), _ = next(table)
         places: dict[int, Key] = {}
-        for fields, blob in table:
+        for fields, body in table:
             team, route, name, digest, gateway, claim_id, claimed_ms = fields[
                 :7
             ]
-            state, status, header_bytes, place = fields[7:]
+            state, status, headers, place = fields[7:]
             key = (team, route, name)
             call = Call(
                 digest=bytes.fromhex(digest),
@@ -162,8 +162,8 @@
                 claimed_ms=claimed_ms,
                 state=state,
                 status=status,
-                headers=blob[:header_bytes],
-                body=blob[header_bytes:],
+                headers=bytes.fromhex(headers),
+                body=body,
             )
             result.records[key] = call
             result.claim_bytes += _claim_bytes(key, call)
@@ -203,10 +203,15 @@
         if call.state not in ("running", "unknown"):
             return
         self._set_state(key, call, "finished")
-        call.status = command.status
-        call.headers = command.headers
-        call.body = command.body
-        self.answer_bytes += call.answer_bytes
+        answered = dataclasses.replace(
+            call,
+            state="finished",
+            status=command.status,
+            headers=command.headers,
+            body=command.body,
+        )
+        self.records[key] = answered
+        self.answer_bytes += answered.answer_bytes
         self._answered[key] = None
         self._drop_answers()
 
@@ -218,8 +223,9 @@
             del self._answered[key]
             call = self.records[key]
             self.answer_bytes -= call.answer_bytes
-            call.state = "answer_not_kept"
-            call.status, call.headers, call.body = 0, b"", b""
+            self.records[key] = dataclasses.replace(
+                call, state="answer_not_kept", status=0, headers=b"", body=b""
+            )
 
     def _set_state(self, key: Key, call: Call, state: str) -> None:
         if call.state == "running":
@@ -227,11 +233,12 @@
             del running[key]
             if not running:
                 del self._running[call.gateway]
-        call.state = state
+        self.records[key] = dataclasses.replace(call, state=state)
 
     def _remove(self, key: Key) -> None:
-        call = self.records.pop(key)
+        call = self.records[key]
         self._set_state(key, call, "removed")
+        del self.records[key]
         self._answered.pop(key, None)
         self.claim_bytes -= _claim_bytes(key, call)
         self.answer_bytes -= call.answer_bytes
--- a/src/monsoonhinge/control/state/rows.py
+++ b/src/monsoonhinge/control/state/rows.py
@@ -1,8 +1,10 @@
 """Encoding of table rows in a snapshot."""
 
 from collections.abc import Iterable, Iterator, Sequence
+import copy
 import json
 import struct
+import typing
 from typing import Any
 
 from monsoonhinge.runtime import errors
@@ -13,6 +15,22 @@
 Row = tuple[Sequence[Any], bytes]
 
 
+class Table(typing.Protocol):
+    """A table whose rows are replaced and never changed in place."""
+
+    def to_rows(self) -> Iterator[Row]:
+        """Yields the rows of the snapshot."""
+
+
+def copy_table(table: Table) -> Table:
+    """Returns a table that keeps its rows while the original changes."""
+    result = copy.copy(table)
+    for name, value in vars(table).items():
+        if isinstance(value, dict):
+            setattr(result, name, dict(value))
+    return result
+
+
 def encode(rows: Iterable[Row]) -> bytes:
     """Encodes a table.
 
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -79,6 +79,7 @@
         claim_id=st.sampled_from("ab"),
         state=st.sampled_from(["finished", "finished", "unknown", "released"]),
         status=st.just(200),
+        headers=st.sampled_from([b"", b"[]"]),
         body=st.sampled_from([b"", b"answer", b"x" * 700]),
     ),
     _build(commands.AbandonCalls, gateway=_NAME),
@@ -169,10 +170,13 @@
 ) -> None:
     """Guards against members that differ after a snapshot at any point."""
     original, restored = Log(), Log()
+    captured, snapshot = original.machine.capture(), b""
     for position, unresolved in enumerate(log):
         command = original.resolve(unresolved)
         if position == cut:
-            restored.machine.restore(original.machine.snapshot())
+            snapshot = original.machine.snapshot()
+            captured = original.machine.capture()
+            restored.machine.restore(snapshot)
         result = original.apply(command)
         if position >= cut:
             assert restored.apply(command) == result
@@ -180,6 +184,8 @@
         sections = ("config", "leases", "decisions", "budgets", "calls")
         for section in sections:
             json.dumps(original.machine.document(section))
+    if snapshot:
+        assert captured() == snapshot
 
 
 @given(st.lists(_ANY, max_size=20), st.data())
@@ -380,7 +386,12 @@
     subject = Log()
     claim = commands.ClaimCall(key="k", claim_id="c", gateway="g")
     answer = commands.FinishCall(
-        key="k", claim_id="c", state="finished", status=200, body=b"first"
+        key="k",
+        claim_id="c",
+        state="finished",
+        status=200,
+        headers=b"[]",
+        body=b"first",
     )
     subject.apply(claim)
     subject.apply(commands.AbandonCalls(gateway="g"))
@@ -397,6 +408,9 @@
         result = subject.apply(claim)
         assert isinstance(result, commands.CallResult)
         assert (result.code, result.body) == ("finished", b"first")
+    restored = machine.Machine()
+    restored.restore(subject.machine.snapshot())
+    assert restored.calls == subject.machine.calls
     subject.apply(commands.ClaimCall(key="l", claim_id="c", gateway="g"))
     subject.apply(commands.DropCalls(before_ms=1))
     assert list(subject.machine.calls) == [("", "", "l")]
--- a/tests/control/test_subscription.py
+++ b/tests/control/test_subscription.py
@@ -139,6 +139,8 @@
         assert {
             key: schema.canonical(item) for key, item in view.objects.items()
         } == _content(view.version)
+        # Indexes that versions share must not show an older one.
+        assert view.teams == {item.name: item for item in view.objects.values()}
         fresh_at = self.subject.fresh_at
         if fresh_at is not None:
             known = sum(when < fresh_at for when in self.commit_times[1:])
@@ -329,6 +331,21 @@
     assert world.subject.mirror.view.version == version
 
 
+def test_removed_key_leaves_the_index() -> None:
+    """Guards against a withdrawn key that an older index still finds."""
+    key = schema.Key(name="k", team="0", hash="0" * 64)
+    subject = mirror.Mirror()
+    objects = [_object(0, 1), schema.canonical(key)]
+    subject.receive(
+        messages.ConfigSnapshot(version=1, parts=1, objects=objects)
+    )
+    assert key.hash in subject.view.keys_by_hash
+    teams = subject.view.teams
+    subject.receive(messages.ConfigDelta(base=1, version=2, deletes=["key/k"]))
+    assert not subject.view.keys_by_hash
+    assert subject.view.teams is teams
+
+
 def test_gap_leads_to_a_new_subscription() -> None:
     """Guards against a subscriber that stays behind after a lost delta."""
     world = World(0)
