--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -141,7 +141,6 @@
                 control=cluster.members(name, members),
                 schedulers=scheduler_addresses,
                 key_secret=KEY_SECRET,
-                # The scheduler does not grant tokens yet.
                 **(gateway or {}),
             )
         further = dict(engine or {})
--- a/src/monsoonhinge/gateway/attempts.py
+++ b/src/monsoonhinge/gateway/attempts.py
@@ -12,9 +12,10 @@
 from monsoonhinge.gateway import refusal
 from monsoonhinge.gateway import retry
 
-# An engine that answers so has not run the request. A plain service may have
-# run a part of it, so its answer goes to the caller.
-_REFUSED_STATUSES = frozenset({429, 503})
+# An engine that answers so has not run the request; with 404 it has unloaded
+# the model since its last announcement. A plain service may have run a part of
+# the request, so its answer goes to the caller.
+_REFUSED_STATUSES = frozenset({404, 429, 503})
 
 _LOG = logging.getLogger(__name__)
 
@@ -145,6 +146,7 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         self._reporter.started(job)
+        sent_before, job.sent = job.sent, True
         try:
             answer = await self.forwarder.send(
                 dataclasses.replace(
@@ -155,6 +157,7 @@
                 )
             )
         except forward.NotSent as error:
+            job.sent = sent_before
             self.eject(slot, "unreachable")
             failure = retry.Failure(repeatable=repeatable, sent=False)
             return failure, unreachable(error)
