Accept returned tokens until a charge is settled

Cause: a return was accepted once and only while the grant was valid (2 s), so output tokens that a long stream did not use stayed charged.

`GrantRequest.returned` now counts all tokens of the grant that came back so far. That makes repeated requests harmless and allows several returns, up to 120 s after the expiry. Demand of gateways that stopped asking no longer enlarges the tokens committed ahead.

Ruled out: several incremental returns per grant, because a resent request would return the same tokens twice.

Before and after: the tests fail when a repeated return counts again, when it is not bounded by the grant, and when returns end with the grant.

--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -393,8 +393,10 @@
 class GrantRequest:
     """Asks the budget holder for tokens and returns unused ones.
 
-    ``returned`` tokens belong to grant ``returned_grant``; ``waiting`` is what
-    waiting requests need beyond ``wanted``.
+    ``returned`` counts all tokens of grant ``returned_grant`` that came back
+    unused so far, so repeating the request returns nothing twice. ``wanted``
+    is met whole if the bucket allows; ``waiting`` is what waiting requests
+    need beyond it, and may be met in part.
     """
 
     gateway: str = ""
--- a/src/monsoonhinge/scheduler/budget.py
+++ b/src/monsoonhinge/scheduler/budget.py
@@ -9,6 +9,9 @@
 
 GRANT_S = 2.0
 
+# A charge is settled when its stream ends, long after the grant expired.
+RETURN_S = 120.0
+
 # Tokens committed ahead cover this much of the demand; a failover loses them.
 AHEAD_S = 1.0
 
@@ -43,6 +46,7 @@
     gateway: str
     tokens: int
     until: float
+    returned: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,9 +76,12 @@
             earned = (now - self.filled_at) * self.team.tokens_per_s
             self.level = min(self.team.burst_tokens, self.level + earned)
             self.filled_at = now
-        for grant_id, issue in list(self.issued.items()):
-            if issue.until < now:
-                del self.issued[grant_id]
+        # Grants were issued in this order, so the first expire first.
+        while self.issued:
+            grant_id = next(iter(self.issued))
+            if self.issued[grant_id].until + RETURN_S >= now:
+                break
+            del self.issued[grant_id]
 
 
 class Budget:
@@ -179,6 +186,11 @@
             return None
         bucket.fill(now)
         needed = request.wanted + request.waiting
+        bucket.demand = {
+            gateway: demand
+            for gateway, demand in bucket.demand.items()
+            if now - demand.at < _DEMAND_SMOOTHING_S
+        }
         rate = sum(demand.rate for demand in bucket.demand.values())
         available = max(0.0, bucket.level + request.returned)
         likely = min(available, needed + rate * PREFETCH_S)
@@ -223,12 +235,17 @@
     def _take_back(
         self, bucket: Bucket, request: messages.GrantRequest
     ) -> None:
-        """Returns unused tokens of a grant to the bucket, at most once."""
+        """Puts tokens that were not used back into the bucket.
+
+        The gateway reports all tokens of the grant that came back so far, so
+        a repeated request returns nothing twice.
+        """
         issue = bucket.issued.get(request.returned_grant)
         if issue is None or issue.gateway != request.gateway:
             return
-        del bucket.issued[request.returned_grant]
-        returned = min(request.returned, issue.tokens)
+        total = min(request.returned, issue.tokens)
+        returned = max(0, total - issue.returned)
+        issue.returned += returned
         bucket.level = min(bucket.team.burst_tokens, bucket.level + returned)
 
     def _prefetch(self, bucket: Bucket, demand: _Demand, spare: int) -> int:
--- a/src/monsoonhinge/scheduler/holder.py
+++ b/src/monsoonhinge/scheduler/holder.py
@@ -125,9 +125,7 @@
                 "level": bucket.level,
                 "granted": bucket.granted,
                 "committed": bucket.committed,
-                "outstanding": sum(
-                    issue.tokens for issue in bucket.issued.values()
-                ),
+                "grants": len(bucket.issued),
             }
             for name, bucket in self.budget.buckets.items()
         }
--- a/tests/scheduler/test_scheduler_budget.py
+++ b/tests/scheduler/test_scheduler_budget.py
@@ -139,3 +139,14 @@
     grant = shard.ask(20)
     shard.ask(0, 200, grant.grant_id)
     assert shard.ask(100).tokens <= 100 - 60
+
+
+def test_charge_is_settled_after_the_grant_expired() -> None:
+    """Guards against output tokens that were never generated but stay spent."""
+    shard = _Shard()
+    grant = shard.ask(100)
+    shard.now += 3
+    shard.ask(0, 30, grant.grant_id)
+    shard.ask(0, 50, grant.grant_id)
+    shard.ask(0, 50, grant.grant_id)
+    assert shard.ask(81).tokens == 80
