Keep one hanging load from inflating every load estimate

Cause: the estimate took the slowest load in progress, so a single load that a target lost made every verdict grow with the time it had been hanging.

The estimate takes the lower median of the loads in progress, at most 20 times the learned time. A stall of the whole store still shows before a load ends.

Ruled out: ignoring loads in progress, which hides a stalled store until the first slow load completes.

Before and after: the new test fails with the slowest load (every estimate 60 times too long after 60 s) and passes with the median.

--- a/src/monsoonhinge/scheduler/weightstore.py
+++ b/src/monsoonhinge/scheduler/weightstore.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 import dataclasses
 import heapq
+import statistics
 
 from monsoonhinge.config import schema
 
@@ -16,6 +17,9 @@
 INITIAL_SPEED = {"remote": 1.0, "disk": 0.4, "memory": 0.1}
 
 _SPEED_SMOOTHING = 0.3
+
+# Bounds the estimate while loads hang, as multiple of the learned time.
+_MAX_STALL = 20.0
 _EPSILON = 1e-9
 _STEP_S = 0.1
 
@@ -125,12 +129,18 @@
         """Returns the expected time of a load.
 
         Loads in progress that already take longer than expected count, so a
-        store that stalls is noticed before any load completes.
+        store that stalls is noticed before any load completes. The lower
+        median is taken because a single load can hang on its own.
         """
         factor = self.speed[tier]
-        for load in self.in_flight.values():
-            if load.tier == tier and load.nominal_s > 0:
-                factor = max(factor, (now - load.started_at) / load.nominal_s)
+        elapsed = [
+            (now - load.started_at) / load.nominal_s
+            for load in self.in_flight.values()
+            if load.tier == tier and load.nominal_s > 0
+        ]
+        if elapsed:
+            stalled = statistics.median_low(elapsed)
+            factor = max(factor, min(stalled, _MAX_STALL * factor))
         return nominal_s * factor
 
     def order(self, wanted: Iterable[Wanted]) -> list[Wanted]:
--- a/tests/scheduler/test_scheduler_policy.py
+++ b/tests/scheduler/test_scheduler_policy.py
@@ -71,6 +71,14 @@
     assert store.load_s(2.0, "remote", 10.0) > 4.0
 
 
+def test_single_hanging_load_does_not_stop_others() -> None:
+    """Guards against verdicts that refuse everything after one lost load."""
+    store = weightstore.WeightStore(_LIMITS, now=0.0)
+    store.start("hangs", nominal_s=1.0, tier="remote", now=0.0)
+    store.start("new", nominal_s=1.0, tier="remote", now=59.5)
+    assert store.load_s(2.0, "remote", 60.0) == pytest.approx(2.0)
+
+
 def test_idle_weight_shortens_the_stay() -> None:
     """Guards against a policy that ignores the operator's weights."""
     cheap = _keep([3, 40], cold_start_weight=100, idle_weight=1)
