Ask for room instead of choosing a target twice

Cause: before each dispatch a target was chosen without the prompt, only to see whether any has room, and then once more with it. In a profile of the gateway the two choices took the largest part of the queue (0.305 of 0.759 s).

Measured with timeit on 16 replicas: before, 88.6 us for the first choice; after, 14.2 us for the question. End to end with one replica: 1.064 ms of CPU per request before and 1.111 ms after, at load averages of about 6 and 9; the difference is within the noise of this shared machine.

Conclusion: the gain shows only with several replicas of a model.

--- a/src/monsoonhinge/gateway/dispatch.py
+++ b/src/monsoonhinge/gateway/dispatch.py
@@ -216,7 +216,7 @@
 
     def _pump(self, lane: str) -> None:
         need = self._needs[lane]
-        while self.queue.holds(lane) and self._pick(need, ()):
+        while self.queue.holds(lane) and self._room(need):
             ticket = self.queue.pop(lane, self._charge)
             if ticket is None:
                 return
@@ -244,6 +244,12 @@
             )
         )
 
+    def _room(self, need: routing.Need) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self.router.room(
+            need, exclude=lambda names: self.ejections.excluded(names, now)
+        )
+
     def _pick(self, need: routing.Need, avoid: Collection[str]) -> str:
         now = asyncio.get_running_loop().time()
 
--- a/src/monsoonhinge/gateway/routing.py
+++ b/src/monsoonhinge/gateway/routing.py
@@ -183,11 +183,7 @@
             exclude: Returns which of the targets that could serve the request
                 must not get it.
         """
-        able = [
-            name
-            for name in sorted(self._by_name.get(need.name, ()))
-            if self._capacity(self._targets[name], need)
-        ]
+        able = self._able(need)
         excluded = set(exclude(able))
         share = self._share(able, need.name)
         scored = sorted(
@@ -206,6 +202,15 @@
         best, second = (score - lowest + 0.01 for score, _ in scored)
         return scored[self.rng.random() < 0.5 * best / second][1]
 
+    def room(self, need: Need, *, exclude: Exclude = _exclude_none) -> bool:
+        """Returns whether ``pick`` would find a target."""
+        able = self._able(need)
+        excluded = exclude(able)
+        return any(
+            name not in excluded and self._has_room(self._targets[name], need)
+            for name in able
+        )
+
     def able(self, need: Need) -> bool:
         """Returns whether some target offers what a request needs."""
         return any(
@@ -236,6 +241,17 @@
             for name, target in self._targets.items()
         }
 
+    def _able(self, need: Need) -> list[str]:
+        return [
+            name
+            for name in sorted(self._by_name.get(need.name, ()))
+            if self._capacity(self._targets[name], need)
+        ]
+
+    def _has_room(self, target: _Target, need: Need) -> bool:
+        load = target.load(need.name).estimate()
+        return load < self._capacity(target, need)
+
     def _capacity(self, target: _Target, need: Need) -> int:
         state = target.state
         if state.leaving:
