--- a/src/monsoonhinge/gateway/routing.py
+++ b/src/monsoonhinge/gateway/routing.py
@@ -93,12 +93,16 @@
     """What is known of one target."""
 
     def __init__(self, state: messages.TargetState) -> None:
+        self.name = state.target
         self.state = state
         self.cache = prefixes.Cache()
         self.loads: dict[str, _Load] = {}
 
     def load(self, name: str) -> _Load:
-        return self.loads.setdefault(name, _Load())
+        load = self.loads.get(name)
+        if load is None:
+            load = self.loads[name] = _Load()
+        return load
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,14 +188,13 @@
                 must not get it.
         """
         able = self._able(need)
-        excluded = set(exclude(able))
-        share = self._share(able, need.name)
+        excluded = set(exclude([target.name for target, _ in able]))
+        share = self._share([target for target, _ in able], need.name)
         scored = sorted(
-            (score, name)
-            for name in able
-            if name not in excluded
-            and (score := self._score(self._targets[name], need, share))
-            is not None
+            (self._score(target, need, capacity, share), target.name)
+            for target, capacity in able
+            if target.name not in excluded
+            and target.load(need.name).estimate() < capacity
         )[:2]
         if len(scored) < 2:
             return scored[0][1] if scored else ""
@@ -205,10 +208,11 @@
     def room(self, need: Need, *, exclude: Exclude = _exclude_none) -> bool:
         """Returns whether ``pick`` would find a target."""
         able = self._able(need)
-        excluded = exclude(able)
+        excluded = exclude([target.name for target, _ in able])
         return any(
-            name not in excluded and self._has_room(self._targets[name], need)
-            for name in able
+            target.name not in excluded
+            and target.load(need.name).estimate() < capacity
+            for target, capacity in able
         )
 
     def able(self, need: Need) -> bool:
@@ -241,17 +245,13 @@
             for name, target in self._targets.items()
         }
 
-    def _able(self, need: Need) -> list[str]:
+    def _able(self, need: Need) -> list[tuple[_Target, int]]:
         return [
-            name
+            (target, capacity)
             for name in sorted(self._by_name.get(need.name, ()))
-            if self._capacity(self._targets[name], need)
+            if (capacity := self._capacity(target := self._targets[name], need))
         ]
 
-    def _has_room(self, target: _Target, need: Need) -> bool:
-        load = target.load(need.name).estimate()
-        return load < self._capacity(target, need)
-
     def _capacity(self, target: _Target, need: Need) -> int:
         state = target.state
         if state.leaving:
@@ -265,20 +265,18 @@
             for replica in state.replicas
         )
 
-    def _share(self, names: Collection[str], needed: str) -> float:
-        loads = [self._targets[name].load(needed) for name in names]
+    def _share(self, targets: Iterable[_Target], needed: str) -> float:
+        loads = [target.load(needed) for target in targets]
         reported = sum(load.reported for load in loads)
         own = sum(load.own_reported for load in loads)
         return min(1.0, (own + 1) / (reported + 1))
 
-    def _score(self, target: _Target, need: Need, share: float) -> float | None:
-        load = target.load(need.name)
-        capacity = self._capacity(target, need)
-        if load.estimate() >= capacity:
-            return None
+    def _score(
+        self, target: _Target, need: Need, capacity: int, share: float
+    ) -> float:
         # The other gateways see the same report and probably send their share
         # to the same targets before the next one.
-        score = load.expected(share) / capacity
+        score = target.load(need.name).expected(share) / capacity
         score -= _CACHED_BONUS * target.cache.matched(need.prefixes)
         if target.state.availability_zone != self.availability_zone:
             score += _OTHER_ZONE_PENALTY
