Say "not run" only when no attempt can have run

After: an attempt that may have run makes later refusals "unknown"; the error event says false. Both tests were seen failing without the change. An engine that refused the request does not count as an attempt that may have run.

--- a/src/monsoonhinge/gateway/attempts.py
+++ b/src/monsoonhinge/gateway/attempts.py
@@ -94,6 +94,23 @@
         Raises:
             refusal.Refusal: No attempt succeeded.
         """
+        try:
+            return await self._send(job, request, repeatable, answer_timeout_s)
+        except BaseException as error:
+            if not job.sent:
+                self.dispatcher.settle(job, 0)
+            elif isinstance(error, refusal.Refusal) and error.not_run is True:
+                # An earlier attempt may have run.
+                error.not_run = "unknown"
+            raise
+
+    async def _send(
+        self,
+        job: dispatch.Job,
+        request: forward.TargetRequest,
+        repeatable: bool,
+        answer_timeout_s: float | None,
+    ) -> Attempt:
         self.budget.request()
         number = 0
         while True:
@@ -112,8 +129,6 @@
             self.release(job, slot)
             job.avoid.add(slot.run.target)
             if not retry.allowed(failure) or not self._affordable(job):
-                if failure.refused or not failure.sent:
-                    self.dispatcher.settle(job, 0)
                 raise error
             metrics.RETRIES.inc()
             await asyncio.sleep(retry.backoff_s(number, self.rng))
@@ -167,6 +182,7 @@
             return failure, lost(error)
         if answer.status in _REFUSED_STATUSES and not job.need.service:
             answer.close()
+            job.sent = sent_before
             metrics.FAILED_ATTEMPTS.labels("refused").inc()
             failure = retry.Failure(
                 repeatable=repeatable, sent=True, refused=True
--- a/src/monsoonhinge/gateway/models.py
+++ b/src/monsoonhinge/gateway/models.py
@@ -101,7 +101,9 @@
                 reason = session.ended()
                 if reason is None:
                     raise
-                raise refusal.unfinished(reason, sent=job.sent) from None
+                raise refusal.unfinished(
+                    reason, not_run="unknown" if job.sent else True
+                ) from None
             return await self._relay(request, attempt, session, prompt)
 
     async def _relay(
--- a/src/monsoonhinge/gateway/refusal.py
+++ b/src/monsoonhinge/gateway/refusal.py
@@ -65,20 +65,20 @@
         )
 
 
-def unfinished(reason: Refusal, *, sent: bool) -> Refusal:
+def unfinished(reason: Refusal, *, not_run: NotRun) -> Refusal:
     """Returns the refusal of a request that the gateway ended.
 
     Args:
         reason: Why it was ended.
-        sent: Whether it may be running at a target.
+        not_run: What is known of the run.
     """
     return Refusal(
         reason.message,
         status=reason.status,
         code=reason.code,
-        not_run="unknown" if sent else True,
+        not_run=not_run,
         retry_after_s=reason.retry_after_s,
-        step="forward" if sent else "queue",
+        step="queue" if not_run is True else "forward",
     )
 
 
--- a/src/monsoonhinge/gateway/relay.py
+++ b/src/monsoonhinge/gateway/relay.py
@@ -71,7 +71,7 @@
             reason = session.ended()
             if reason is None:
                 raise
-            self._break_off(reason)
+            self._break_off(refusal.unfinished(reason, not_run=False))
         return self._response
 
     async def _pass(self) -> None:
--- a/src/monsoonhinge/gateway/services.py
+++ b/src/monsoonhinge/gateway/services.py
@@ -112,7 +112,9 @@
                 reason = session.ended()
                 if reason is None:
                     raise
-                raise refusal.unfinished(reason, sent=job.sent) from None
+                raise refusal.unfinished(
+                    reason, not_run="unknown" if job.sent else True
+                ) from None
             passed = relay.Relay(request=request, attempt=attempt)
             try:
                 return await passed.run(session, job.deadline)
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -138,7 +138,8 @@
         )
         await standins.until(lambda: gateway.process.dispatcher.queue.count)
         gateway.withdraw()
-        assert (await stream)["code"] == "invalid_key"
+        error = await stream
+        assert (error["code"], error["not_run"]) == ("invalid_key", False)
         assert await waiting == (401, "invalid_key", True)
         assert (await gateway.error())[:2] == (401, "invalid_key")
         await asyncio.wait_for(gateway.targets[0].closed.wait(), 2)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -96,6 +96,20 @@
         assert len(gateway.targets[0].received) <= 2
 
 
+async def test_refusal_after_a_lost_answer_is_not_called_unrun() -> None:
+    """Guards against "not run" for a request whose first attempt ran (P9)."""
+
+    async def die_and_leave(
+        request: standins.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        gateway.announce(gateway.targets[0], leaving=True)
+        writer.transport.abort()
+
+    async with standins.running(die_and_leave) as gateway:
+        got = await gateway.error(headers={"X-Request-Timeout": "0.3"})
+        assert got == (504, "deadline_exceeded", "unknown")
+
+
 async def test_unsent_call_is_released() -> None:
     """Guards against an unreachable target that uses up a key."""
     async with standins.running(standins.respond_whole) as gateway:
