Close connections that answered another request

Cause: a short answer is complete when its headers are examined, and the HTTP client has put its connection back into the pool by then. After a wrong X-Request-Id, closing the response no longer closed the connection, and the next request used it again.

Ruled out: a connection for each request; it costs a handshake per request.

The test that a later request uses another connection failed before the change (connection 1 twice) and passes after it. 141 tests pass.

--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -1,5 +1,6 @@
 """HTTP from the gateway to targets."""
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 import dataclasses
 
@@ -84,6 +85,28 @@
     timeout_s: float
 
 
+class _Response(aiohttp.ClientResponse):
+    """A response that can still close its connection once it was read.
+
+    A short answer is complete when its headers are examined; its connection
+    is back in the pool by then.
+    """
+
+    transport: asyncio.Transport | None = None
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        self.transport = connection.transport
+        return await super().start(connection)
+
+    def drop(self) -> None:
+        """Closes the connection so that nothing else is read from it."""
+        self.close()
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class Forwarder:
     """Sends requests to targets and reads their answers."""
 
@@ -97,6 +120,7 @@
             session=aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15),
                 cookie_jar=aiohttp.DummyCookieJar(),
+                response_class=_Response,
                 auto_decompress=False,
             )
         )
@@ -147,14 +171,14 @@
                 timed_out=isinstance(error, TimeoutError),
             ) from error
         if response.headers.get("X-Request-Id") != request.request_id:
-            response.close()
+            _drop(response)
             raise AnswerLost(
                 "the target answered another request",
                 step=step,
                 peer=request.address,
             )
         if not _has_end(request.method, response):
-            response.close()
+            _drop(response)
             raise AnswerLost(
                 "the answer has neither a length nor chunks",
                 step=step,
@@ -200,6 +224,11 @@
         self._response.close()
 
 
+def _drop(response: aiohttp.ClientResponse) -> None:
+    assert isinstance(response, _Response)
+    response.drop()
+
+
 def _has_end(method: str, response: aiohttp.ClientResponse) -> bool:
     # An answer that ends with its connection cannot be told from a truncated
     # one.
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -56,6 +56,15 @@
         got = await gateway.error("/services/ledger/refunds/1", headers=_ONCE)
         assert got == (409, "outcome_unknown", "unknown")
         assert len(gateway.targets[0].received) == 1
+        # What else comes over that connection belongs to nobody either.
+        gateway.targets[0].respond = standins.respond_whole
+        two = {"Idempotency-Key": "two"}
+        async with gateway.post(
+            "/services/ledger/refunds/1", headers=two
+        ) as response:
+            assert response.status == 200
+        first, second = gateway.targets[0].received
+        assert first.connection != second.connection
 
 
 async def test_late_answer_is_not_taken_for_the_next() -> None:
