--- a/src/monsoonhinge/bench/caller.py
+++ b/src/monsoonhinge/bench/caller.py
@@ -35,8 +35,10 @@
             due: When it was to be sent, on the loop's clock.
         """
         loop = asyncio.get_running_loop()
-        sample = report.Sample(flow=flow.name, late_s=loop.time() - due)
         request_id = uuid.uuid4().hex
+        sample = report.Sample(
+            flow=flow.name, request_id=request_id, late_s=loop.time() - due
+        )
         try:
             async with self._session.request(
                 "POST" if flow.kind == "chat" else flow.method,
@@ -50,7 +52,8 @@
                     sample.outcome = "mismatched"
                     sample.detail = "the answer carries another X-Request-Id"
         except aiohttp.ClientPayloadError as error:
-            sample.outcome, sample.detail = "truncated", str(error)[:200]
+            if sample.outcome != "ended":
+                sample.outcome, sample.detail = "truncated", str(error)[:200]
         except (aiohttp.ClientError, TimeoutError) as error:
             sample.outcome, sample.code = "broken", type(error).__name__
         sample.latency_s = loop.time() - due
@@ -72,6 +75,8 @@
             return
         if flow.stream:
             text = await _stream(response, sample, due)
+            if sample.outcome == "ended":
+                return
             if "data: [DONE]" not in text:
                 sample.outcome = "truncated"
                 sample.detail = "the stream ended without [DONE]"
@@ -92,7 +97,12 @@
     loop = asyncio.get_running_loop()
     parts = []
     last = 0.0
+    failing = False
     async for line in response.content:
+        if line.startswith(b"data: {") and failing:
+            _refusal(line.removeprefix(b"data:"), sample)
+            sample.outcome = "ended"
+        failing = line == b"event: error\n"
         if b"word" in line:
             now = loop.time()
             if sample.first_token_s is None:
--- a/src/monsoonhinge/bench/load.py
+++ b/src/monsoonhinge/bench/load.py
@@ -15,7 +15,14 @@
 async def run(
     plan: plans.Plan, *, stopping: Callable[[], bool] = lambda: False
 ) -> dict[str, Any]:
-    """Sends the requests of a plan and returns the report.
+    """Sends the requests of a plan and returns the report; see collect."""
+    return report.report(await collect(plan, stopping=stopping))
+
+
+async def collect(
+    plan: plans.Plan, *, stopping: Callable[[], bool] = lambda: False
+) -> report.Result:
+    """Sends the requests of a plan and returns what happened to each.
 
     Arrivals do not wait for answers, so a slow system gets no less load.
 
@@ -64,4 +71,4 @@
         await asyncio.gather(*tasks)
         elapsed = loop.time() - started
         watching.cancel()
-    return report.report(samples, elapsed_s=elapsed, not_sent=not_sent)
+    return report.Result(samples, elapsed_s=elapsed, not_sent=not_sent)
--- a/src/monsoonhinge/bench/report.py
+++ b/src/monsoonhinge/bench/report.py
@@ -15,10 +15,11 @@
 
     Attributes:
         flow: Name of the flow.
-        outcome: ``ok``, ``refused``, ``mismatched`` (an answer to another
-            request, or wrong content), ``truncated`` or ``broken`` (no
-            answer).
-        code: Code of a refusal, or the error.
+        request_id: Id sent with the request.
+        outcome: ``ok``, ``refused``, ``ended`` (a stream that ended early with
+            an error event), ``mismatched`` (an answer to another request, or
+            wrong content), ``truncated`` or ``broken`` (no answer).
+        code: Code of a refusal or of an error event, or the error.
         not_run: What a refusal says about it.
         latency_s: From the planned arrival to the end of the answer.
         first_token_s: From the planned arrival to the first token.
@@ -28,6 +29,7 @@
     """
 
     flow: str
+    request_id: str = ""
     outcome: str = "broken"
     code: str = ""
     not_run: Any = None
@@ -38,6 +40,21 @@
     detail: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What happened in a load.
+
+    Attributes:
+        samples: One per request sent.
+        elapsed_s: Time until the last answer, in seconds.
+        not_sent: Arrivals beyond the limit of requests in flight.
+    """
+
+    samples: Sequence[Sample]
+    elapsed_s: float
+    not_sent: int
+
+
 def quantiles(values: Sequence[float]) -> dict[str, float]:
     """Returns p50, p95 and p99, each the smallest value that covers it."""
     if not values:
@@ -69,7 +86,7 @@
             collections.Counter(
                 f"{sample.code} not_run={sample.not_run}"
                 for sample in samples
-                if sample.outcome == "refused"
+                if sample.outcome in ("refused", "ended")
             )
         ),
         "latency_s": quantiles([sample.latency_s for sample in good]),
@@ -88,14 +105,13 @@
     }
 
 
-def report(
-    samples: Sequence[Sample], *, elapsed_s: float, not_sent: int
-) -> dict[str, Any]:
+def report(result: Result) -> dict[str, Any]:
     """Returns the report of a load, as a whole and by flow."""
+    samples, elapsed_s = result.samples, result.elapsed_s
     flows = dict.fromkeys(sample.flow for sample in samples)
     return {
         "elapsed_s": round(elapsed_s, 3),
-        "not_sent": not_sent,
+        "not_sent": result.not_sent,
         "all": summary(samples, elapsed_s),
         "flows": {
             flow: summary([s for s in samples if s.flow == flow], elapsed_s)
@@ -127,7 +143,7 @@
         latency = figures["latency_s"]
         wrong = sum(
             outcomes.get(kind, 0)
-            for kind in ("mismatched", "truncated", "broken")
+            for kind in ("ended", "mismatched", "truncated", "broken")
         )
         lines.append(
             row.format(
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -78,6 +78,10 @@
     match body["model"]:
         case "short":
             words = "word0"
+        case "error":
+            error = {"code": "deadline_exceeded", "not_run": False}
+            words += f"\n\nevent: error\ndata: {json.dumps({'error': error})}\n"
+            return web.Response(text=words, headers=headers)
         case "no-end":
             return web.Response(text=f"data: {words}\n", headers=headers)
     return web.Response(text=f"{words}\ndata: [DONE]\n", headers=headers)
@@ -92,6 +96,7 @@
         ("crossed", False, "mismatched"),
         ("short", False, "mismatched"),
         ("no-end", True, "truncated"),
+        ("error", True, "ended"),
     ],
 )
 def test_answers_are_classified(route: str, stream: bool, outcome: str) -> None:
--- a/tests/features/conftest.py
+++ b/tests/features/conftest.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterator
 from typing import Any
 
-import deployment
 import pytest
 import pytest_bdd
 
+from tests.features import deployment
+
 
 @pytest.fixture(scope="session")
 def running(
--- a/tests/features/deployment.py
+++ b/tests/features/deployment.py
@@ -70,6 +70,7 @@
                 ],
                 "current": "1",
                 "kv_bytes_per_replica": 10**9,
+                "max_replicas": 2 if model == "pallets" else 1,
             },
             {
                 "kind": "route",
--- a/tests/features/steady.py
+++ b/tests/features/steady.py
@@ -5,10 +5,9 @@
 import time
 from typing import Any
 
-import deployment
-
 from monsoonhinge.bench import load
 from monsoonhinge.bench import plan as plans
+from tests.features import deployment
 
 _MAX_S = 120.0
 
--- a/tests/features/test_control.py
+++ b/tests/features/test_control.py
@@ -5,9 +5,10 @@
 import time
 from typing import Any
 
-import deployment
 import pytest_bdd
-import steady
+
+from tests.features import deployment
+from tests.features import steady
 
 pytest_bdd.scenarios("control.feature")
 
--- a/tests/features/test_keys.py
+++ b/tests/features/test_keys.py
@@ -5,9 +5,10 @@
 import time
 from typing import Any
 
-import deployment
 import pytest_bdd
 
+from tests.features import deployment
+
 pytest_bdd.scenarios("keys.feature")
 
 parse = pytest_bdd.parsers.parse
--- a/tests/features/test_publishing.py
+++ b/tests/features/test_publishing.py
@@ -3,10 +3,10 @@
 import copy
 from typing import Any
 
-import deployment
 import pytest_bdd
 
 from monsoonhinge.bench import operators
+from tests.features import deployment
 
 pytest_bdd.scenarios("publishing.feature")
 
--- a/tests/features/test_restart.py
+++ b/tests/features/test_restart.py
@@ -2,9 +2,10 @@
 
 from typing import Any
 
-import deployment
 import pytest_bdd
-import steady
+
+from tests.features import deployment
+from tests.features import steady
 
 pytest_bdd.scenarios("restart.feature")
 
--- a/tests/features/test_schedulers.py
+++ b/tests/features/test_schedulers.py
@@ -2,9 +2,10 @@
 
 from typing import Any
 
-import deployment
 import pytest_bdd
 
+from tests.features import deployment
+
 pytest_bdd.scenarios("schedulers.feature")
 
 parse = pytest_bdd.parsers.parse
--- a/tests/features/test_targets.py
+++ b/tests/features/test_targets.py
@@ -4,9 +4,10 @@
 import time
 from typing import Any
 
-import deployment
 import pytest_bdd
 
+from tests.features import deployment
+
 pytest_bdd.scenarios("targets.feature")
 
 parse = pytest_bdd.parsers.parse
@@ -59,6 +60,9 @@
     before = system.cluster.dump(seen["server"])["runs"]
     for gateway in range(deployment.GATEWAYS):
         assert system.answer("pallets", gateway=gateway).status == 200
+    assert system.cluster.nodes[seen["server"]].running, (
+        "callers got no answer until the leaving server was gone"
+    )
     assert system.cluster.dump(seen["server"])["runs"] == before
 
 
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -4,9 +4,10 @@
 import json
 
 import aiohttp
-from gateway import standins
 import pytest
 
+from tests.gateway import standins
+
 
 async def test_key_reaches_no_target() -> None:
     """Guards against any byte of a caller's key at a target (P5)."""
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 
-from gateway import standins
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -11,6 +10,7 @@
 
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from tests.gateway import standins
 
 _ONCE = {"Idempotency-Key": "once"}
 _REFUND = "/services/ledger/refunds/1"
