--- a/tests/features/test_targets.py
+++ b/tests/features/test_targets.py
@@ -60,6 +60,9 @@
     before = system.cluster.dump(seen["server"])["runs"]
     for gateway in range(deployment.GATEWAYS):
         assert system.answer("pallets", gateway=gateway).status == 200
+    assert system.cluster.nodes[seen["server"]].running, (
+        "callers got no answer until the leaving server was gone"
+    )
     assert system.cluster.dump(seen["server"])["runs"] == before
 
 
