--- a/src/monsoonhinge/gateway/attempts.py
+++ b/src/monsoonhinge/gateway/attempts.py
@@ -12,9 +12,10 @@
 from monsoonhinge.gateway import refusal
 from monsoonhinge.gateway import retry
 
-# An engine that answers so has not run the request. A plain service may have
-# run a part of it, so its answer goes to the caller.
-_REFUSED_STATUSES = frozenset({429, 503})
+# An engine that answers so has not run the request; with 404 it has unloaded
+# the model since its last announcement. A plain service may have run a part of
+# the request, so its answer goes to the caller.
+_REFUSED_STATUSES = frozenset({404, 429, 503})
 
 _LOG = logging.getLogger(__name__)
 
@@ -94,6 +95,23 @@
         Raises:
             refusal.Refusal: No attempt succeeded.
         """
+        try:
+            return await self._send(job, request, repeatable, answer_timeout_s)
+        except BaseException as error:
+            if not job.sent:
+                self.dispatcher.settle(job, 0)
+            elif isinstance(error, refusal.Refusal) and error.not_run is True:
+                # An earlier attempt may have run.
+                error.not_run = "unknown"
+            raise
+
+    async def _send(
+        self,
+        job: dispatch.Job,
+        request: forward.TargetRequest,
+        repeatable: bool,
+        answer_timeout_s: float | None,
+    ) -> Attempt:
         self.budget.request()
         number = 0
         while True:
@@ -112,8 +130,6 @@
             self.release(job, slot)
             job.avoid.add(slot.run.target)
             if not retry.allowed(failure) or not self._affordable(job):
-                if failure.refused or not failure.sent:
-                    self.dispatcher.settle(job, 0)
                 raise error
             metrics.RETRIES.inc()
             await asyncio.sleep(retry.backoff_s(number, self.rng))
@@ -167,6 +183,7 @@
             return failure, lost(error)
         if answer.status in _REFUSED_STATUSES and not job.need.service:
             answer.close()
+            job.sent = sent_before
             metrics.FAILED_ATTEMPTS.labels("refused").inc()
             failure = retry.Failure(
                 repeatable=repeatable, sent=True, refused=True
