--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -8,13 +8,13 @@
 import asyncio
 from concurrent import futures
 import contextlib
-import dataclasses
 import logging
 import random
 import typing
 
 from monsoonhinge.consensus import leader as raft_leader
 from monsoonhinge.consensus import metrics
+from monsoonhinge.consensus import proposals
 from monsoonhinge.consensus import raft
 from monsoonhinge.consensus import storage as raft_storage
 from monsoonhinge.consensus import types
@@ -55,14 +55,6 @@
         """Learns the addresses of the members."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Proposal:
-    data: bytes
-    proposed_at: float
-    result: asyncio.Future[tuple[int, bytes]]
-    term: int = 0
-
-
 class Driver:
     """One member of the cluster on the event loop.
 
@@ -112,8 +104,8 @@
         )
         self._writing: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._queue: list[_Proposal] = []
-        self._proposed: dict[int, _Proposal] = {}
+        self._queue: list[proposals.Proposal] = []
+        self._proposed: dict[int, proposals.Proposal] = {}
         self._reads: dict[int, asyncio.Future[int]] = {}
         self._next_read = 1
         self._configuration: types.Configuration | None = None
@@ -141,7 +133,7 @@
 
     async def stop(self) -> None:
         """Ends after the write in progress."""
-        self._fail(errors.MonsoonhingeError("stopped", step="stop"))
+        self._fail(errors.MonsoonhingeError("stopped"))
         if self._writing is not None:
             await asyncio.gather(self._writing, return_exceptions=True)
         self._writer.shutdown(wait=False)
@@ -157,10 +149,9 @@
             return
         try:
             self.raft.step(message, self._loop.time())
+            self._flush()
         except types.SafetyError as error:
             self._fail(error)
-            return
-        self._flush()
 
     async def propose(self, data: bytes) -> tuple[int, bytes]:
         """Commits a command.
@@ -182,7 +173,7 @@
                 peer="",
             )
         self._require_leadership("propose")
-        proposal = _Proposal(
+        proposal = proposals.Proposal(
             data=data,
             proposed_at=self._loop.time(),
             result=self._loop.create_future(),
@@ -202,7 +193,7 @@
         """
         leadership = self._require_leadership("change members")
         leadership.change(wanted, self._loop.time())
-        proposal = _Proposal(
+        proposal = proposals.Proposal(
             data=b"",
             proposed_at=self._loop.time(),
             result=self._loop.create_future(),
@@ -298,7 +289,7 @@
             )
         except types.NotLeader as error:
             for proposal in batch:
-                self._reject(proposal, error)
+                proposal.reject(error)
             return
         for number, proposal in enumerate(batch):
             proposal.term = self.raft.state.term
@@ -315,9 +306,8 @@
             return
         finally:
             self._writing = None
-        now = self._loop.time()
-        metrics.WRITE_SECONDS.observe(now - started)
-        self.raft.written(write, now)
+        metrics.WRITE_SECONDS.observe(self._loop.time() - started)
+        self.raft.written(write, self._loop.time())
         self._flush()
 
     def _apply(self) -> None:
@@ -363,25 +353,13 @@
         self.applied = entry.index
         proposal = self._proposed.pop(entry.index, None)
         if proposal is not None:
-            self._resolve(proposal, entry.term, result)
-
-    def _resolve(self, proposal: _Proposal, term: int, result: bytes) -> None:
-        if proposal.term != term:
-            self._reject(
-                proposal, types.NotLeader(leader=self.leader, step="propose")
-            )
-        elif not proposal.result.done():
-            proposal.result.set_result((self.applied, result))
-            metrics.PROPOSALS.labels("committed").inc()
-            metrics.COMMIT_SECONDS.observe(
-                self._loop.time() - proposal.proposed_at
+            proposal.resolve(
+                index=entry.index,
+                term=entry.term,
+                result=result,
+                now=self._loop.time(),
             )
 
-    def _reject(self, proposal: _Proposal, error: Exception) -> None:
-        if not proposal.result.done():
-            proposal.result.set_exception(error)
-            metrics.PROPOSALS.labels("not_leader").inc()
-
     def _answer_reads(self) -> None:
         confirmed, failed = self.raft.take_reads()
         for token, index in confirmed:
@@ -402,9 +380,7 @@
         self._queue = []
         self._proposed.clear()
         for proposal in pending:
-            self._reject(
-                proposal, types.NotLeader(leader=self.leader, step="propose")
-            )
+            proposal.reject(types.NotLeader(leader=self.leader, step="propose"))
 
     def _fail(self, error: errors.MonsoonhingeError) -> None:
         """Steps down for good: nothing is sent or acknowledged any more."""
