--- a/src/monsoonhinge/bench/demo.py
+++ b/src/monsoonhinge/bench/demo.py
@@ -1,8 +1,10 @@
 """Shows a whole system on loopback."""
 
 import dataclasses
+import os
 import pathlib
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -13,9 +15,7 @@
 
 from monsoonhinge.bench import exchange
 from monsoonhinge.bench import local
-from monsoonhinge.bench import operators
 from monsoonhinge.bench import polling
-from monsoonhinge.config import validate
 
 BAR_KEY = "bar-key-for-the-demo"
 DRIVER_KEY = "driver-key-for-the-demo"
@@ -47,24 +47,21 @@
     def __init__(self, cluster: local.Cluster, config: pathlib.Path) -> None:
         self.cluster = cluster
         self.config = config
-        self.operator = operators.Operator.of(cluster, name="demo")
         self.gateways = [node.url("callers") for node in cluster.of("gateway")]
 
     def start(self) -> None:
         """Starts all processes and publishes the configuration."""
         started = time.monotonic()
         self.cluster.start()
-        version, objects = validate.read_file(self.config.read_text())
-        result = self.operator.publish(
-            version, [item.model_dump() for item in objects.values()]
-        )
-        print(f"published version {result.version}: {result.code}")
+        self.operate("check", str(self.config))
+        self.operate("publish", str(self.config))
         for name, team, key in (
             ("corner-bar", "bars", BAR_KEY),
             ("driver-7", "drivers", DRIVER_KEY),
         ):
-            result = self.operator.grant(name=name, team=team, key=key)
-            print(f"granted key {name} to {team}: {result.code}")
+            self.operate(
+                "key", "grant", "--team", team, "--stdin", name, stdin=key
+            )
         self.cluster.wait_ready(timeout=_START_TIMEOUT_S)
         polling.wait_until(
             self._targets_are_known,
@@ -73,6 +70,25 @@
         )
         took = time.monotonic() - started
         print(f"{len(self.cluster.nodes)} processes ready in {took:.1f} s\n")
+        self.operate("status")
+
+    def operate(self, *arguments: str, stdin: str = "") -> None:
+        """Runs an operator's command and prints what it prints.
+
+        Raises:
+            subprocess.CalledProcessError: The command failed.
+        """
+        print(f"$ monsoonhinge {' '.join(arguments)}", flush=True)
+        settings = str(self.cluster.settings_path("operator"))
+        subprocess.run(
+            [sys.executable, "-m", "monsoonhinge.cli", *arguments],
+            input=stdin,
+            text=True,
+            check=True,
+            timeout=_START_TIMEOUT_S,
+            env={**os.environ, "MONSOONHINGE_SETTINGS": settings},
+        )
+        print(flush=True)
 
     def requests(self) -> None:
         """Sends requests as callers would."""
