Keep Ctrl-C away from the processes of a local cluster

Cause: in a terminal Ctrl-C reached all processes at once, so control could stop before the schedulers had handed their lease over. Ruled out: ignoring SIGINT in the processes, which operators may use.

Conclusion: only the starter gets it and stops the processes in order.

--- a/src/monsoonhinge/bench/local.py
+++ b/src/monsoonhinge/bench/local.py
@@ -231,6 +231,9 @@
                     stdout=log,
                     stderr=log,
                     env=dict(os.environ),
+                    # Ctrl-C reaches the starter only, which stops the
+                    # processes in order.
+                    process_group=0,
                 )
 
     def wait_ready(self, *names: str, timeout: float = 20.0) -> None:
