Return unused tokens as a total per grant

Cause: the scheduler takes returns as totals per grant, so that a repeated message adds nothing, while the gateway still sent each return on its own; the second return of a grant was ignored and a lost one destroyed its tokens, which refuses requests that are within rate. Ruled out: returns with an id of their own, because the holder would have to remember them. After: totals, sent again without an answer; the property test checks that they only grow (it failed on separate returns).

--- a/src/monsoonhinge/gateway/wallet.py
+++ b/src/monsoonhinge/gateway/wallet.py
@@ -13,6 +13,8 @@
 # return reaches the holder in time.
 RETURN_BEFORE_S = 0.25
 _DEFAULT_RETRY_S = 1.0
+# Grants last 2 s and several are made per second while a team is busy.
+_MAX_TOTALS = 256
 
 
 def prompt_tokens(body_bytes: int) -> int:
@@ -72,7 +74,11 @@
         self.retry_at = 0.0
         self.answered = False
         self._held: dict[int, _Held] = {}
-        self._returns: dict[int, int] = {}
+        # Tokens of each grant that came back in total; the holder takes totals
+        # so that a lost or repeated message changes nothing.
+        self._totals: dict[int, int] = {}
+        self._unsent: dict[int, None] = {}
+        self._sending = 0
         self._rate = 0.0
         self._rate_at = 0.0
 
@@ -138,12 +144,15 @@
             and now >= self.retry_at
             and (waiting > 0 or missing * 2 >= ahead)
         )
-        if not wants and not self._returns:
+        if not wants and not self._unsent:
             return None
-        grant_id, returned = next(iter(self._returns.items()), (0, 0))
-        self._returns.pop(grant_id, None)
+        grant_id = next(iter(self._unsent), 0)
+        self._unsent.pop(grant_id, None)
+        self._sending = grant_id
         self.asking = True
-        return Ask(missing if wants else 0, returned, grant_id)
+        return Ask(
+            missing if wants else 0, self._totals.get(grant_id, 0), grant_id
+        )
 
     def replied(self, retry_after_s: float, now: float) -> None:
         """Ends a request that was answered."""
@@ -152,7 +161,9 @@
         self.retry_at = now + retry_after_s
 
     def unanswered(self, now: float, pause_s: float) -> None:
-        """Ends a request without an answer; what it returned is lost."""
+        """Ends a request without an answer; what it returned is sent again."""
+        if self._sending:
+            self._unsent[self._sending] = None
         self.asking = False
         self.answered = False
         self.retry_at = now + pause_s
@@ -171,7 +182,7 @@
         return (
             self.balance(now) == 0
             and not self.debt
-            and not self._returns
+            and not self._unsent
             and not self.asking
             and self._current_rate(now) < 0.5
         )
@@ -200,7 +211,12 @@
 
     def _give_back(self, grant_id: int, tokens: int) -> None:
         self.returned += tokens
-        self._returns[grant_id] = self._returns.get(grant_id, 0) + tokens
+        self._totals[grant_id] = self._totals.get(grant_id, 0) + tokens
+        self._unsent[grant_id] = None
+        while len(self._totals) > _MAX_TOTALS:
+            oldest = next(iter(self._totals))
+            del self._totals[oldest]
+            self._unsent.pop(oldest, None)
 
     def _count(self, tokens: int, now: float) -> None:
         self._rate = self._current_rate(now) + tokens * (
--- a/tests/gateway/test_wallet.py
+++ b/tests/gateway/test_wallet.py
@@ -23,7 +23,8 @@
     """Guards against tokens that come from nowhere (P7)."""
     account = wallet.Account()
     charges: list[wallet.Charge] = []
-    now, granted, given_back, used_total = 0.0, 0, 0, 0
+    now, granted, used_total = 0.0, 0, 0
+    given_back: dict[int, int] = {}
     for number, (action, amount) in enumerate(steps):
         if action == "grant":
             granted += amount
@@ -45,13 +46,15 @@
         elif action == "ask":
             ask = account.ask(amount, now)
             if ask is not None:
-                given_back += ask.returned
+                before = given_back.get(ask.returned_grant, 0)
+                assert ask.returned >= before
+                given_back[ask.returned_grant] = ask.returned
                 account.replied(0.0, now)
         else:
             now += amount / 50
         assert account.spent + max(0, account.balance(now)) <= granted
         assert account.spent + account.returned <= granted
-        assert given_back <= account.returned
+        assert sum(given_back.values()) <= account.returned
         charged = sum(charge.tokens for charge in charges)
         assert account.spent + account.debt == charged + used_total
         # Nothing is lost either: each token is held, spent or returned.
@@ -70,6 +73,20 @@
     assert (ask.returned_grant, ask.returned) == (7, 60)
 
 
+def test_lost_return_is_sent_again_in_total() -> None:
+    """Guards against returned tokens that a lost message destroys."""
+    account = wallet.Account()
+    account.add(7, 100, 2.0)
+    charge = account.charge("bars", 40, 1.0)
+    assert charge is not None
+    account.ask(0, 1.9)
+    account.unanswered(1.9, 0.0)
+    account.settle(charge, 10, 1.95)
+    ask = account.ask(0, 1.95)
+    assert ask is not None
+    assert (ask.returned_grant, ask.returned) == (7, 90)
+
+
 def test_usage_beyond_the_charge_is_paid_later() -> None:
     """Guards against free tokens when the prompt estimate was too low."""
     account = wallet.Account()
