Check that the cut control VM really misses the change

Cause: the scenario would have passed with links that were not cut. Ruled out: a check of relay counters, which says nothing about the member.

--- a/tests/features/test_control.py
+++ b/tests/features/test_control.py
@@ -78,9 +78,13 @@
         "no request was refused or lost while the VM was cut off for {span:d} s"
     )
 )
-def none_lost(seen: dict[str, Any], span: int) -> None:
+def none_lost(
+    system: deployment.Deployment, seen: dict[str, Any], span: int
+) -> None:
     seen["load"].finish(at=seen["cut_at"] + span)
     seen["load"].check()
+    # Shows that the links were cut: the change has not reached the member.
+    assert system.cluster.dump(LAST)["version"] < seen["version"]
 
 
 @pytest_bdd.when("the control VM is reachable again")
