Wire directory publication by interest into scheduler and gateway

Structure and a heartbeat now go to all; a gateway follows the load of models it was asked for within 60 s, at one scheduler only. A gateway keeps targets that a scheduler publishes, stops using them when their announcement expires and uses them again when a heartbeat confirms them. Ruled out: dropping them, because an unchanged structure is not sent again. Conclusion: the slope of bytes per target is to be measured again.

--- a/src/monsoonhinge/gateway/demand.py
+++ b/src/monsoonhinge/gateway/demand.py
@@ -10,6 +10,10 @@
 COALESCE_S = 0.05
 FULL_INTERVAL_S = 1.0
 
+# The load of a model is followed this long after its last request here.
+RECENT_S = 60.0
+MAX_RECENT = 400
+
 _Key = tuple[str, str, str]
 
 
@@ -32,6 +36,7 @@
         self._send = send
         self._gateway = gateway
         self._changed: set[str] = set()
+        self._used_at: dict[str, float] = {}
         self._reported: dict[str, set[str]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
@@ -54,10 +59,12 @@
         if not lane.startswith("model:"):
             return
         self._changed.add(lane)
+        loop = asyncio.get_running_loop()
+        model = lane.split(":")[1]
+        self._used_at.pop(model, None)
+        self._used_at[model] = loop.time()
         if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(
-                COALESCE_S, self._flush
-            )
+            self._timer = loop.call_later(COALESCE_S, self._flush)
 
     def started(self, job: dispatch.Job) -> None:
         """Counts a running request."""
@@ -74,6 +81,14 @@
                 del self.running[key]
             self.changed(job.lane)
 
+    def recent(self, now: float) -> list[str]:
+        """Returns the models requested here lately, the latest ones last."""
+        for model, used_at in list(self._used_at.items()):
+            if now - used_at <= RECENT_S and len(self._used_at) <= MAX_RECENT:
+                break
+            del self._used_at[model]
+        return list(self._used_at)
+
     def items(
         self, lanes: Iterable[str] | None, now: float
     ) -> list[messages.DemandItem]:
--- a/src/monsoonhinge/gateway/process.py
+++ b/src/monsoonhinge/gateway/process.py
@@ -55,6 +55,7 @@
             identity=self.identity,
             availability_zone=config.availability_zone,
             on_message=self._from_scheduler,
+            on_lost=lambda link: self.targets.forget_source(link),
         )
         self.admission = admission.Admission(
             key_secret=config.key_secret.encode(),
@@ -205,7 +206,7 @@
                 team: account.balance(now)
                 for team, account in (purse.accounts if purse else {}).items()
             },
-            "targets": sorted(self.targets.directory.entries),
+            "targets": self.targets.usable(),
             "loads": self.dispatcher.router.loads(),
             "ejected_for_s": {
                 name: until - now
@@ -303,13 +304,13 @@
         self.targets.learn([state], asyncio.get_running_loop().time())
         self.schedulers.broadcast(messages.Announcements(targets=[state]))
 
-    def _from_scheduler(self, message: messages.Message) -> None:
+    def _from_scheduler(self, link: object, message: messages.Message) -> None:
         now = asyncio.get_running_loop().time()
         match message:
             case messages.DirectoryUpdate():
-                # Removals are left to the age of the entries, since another
-                # scheduler may have heard of the target more recently.
-                self.targets.learn(message.targets, now)
+                self.targets.publish(link, message, now)
+            case messages.Loads():
+                self.targets.heartbeat(link, message, now)
             case messages.Verdict():
                 for item in message.items:
                     lane = dispatch.lane_name(item.model, item.adapter)
@@ -335,6 +336,7 @@
             await asyncio.sleep(_TICK_S)
             now = loop.time()
             self.targets.expire(now)
+            self.schedulers.follow(self.demand.recent(now))
             if self.control.staleness(now) > self.config.max_stream_staleness_s:
                 self.sessions.end_keyed(stale)
             metrics.WAITING.set(self.dispatcher.queue.count)
--- a/src/monsoonhinge/gateway/schedulers.py
+++ b/src/monsoonhinge/gateway/schedulers.py
@@ -1,6 +1,6 @@
 """Connections of a gateway to all schedulers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 import contextlib
 from typing import TypeVar
 
@@ -25,7 +25,8 @@
         addresses: Sequence[settings.Address],
         identity: connection.Identity,
         availability_zone: str,
-        on_message: Callable[[messages.Message], None],
+        on_message: Callable[[object, messages.Message], None],
+        on_lost: Callable[[object], None],
     ) -> None:
         self.peers = [
             connection.Peer(
@@ -39,7 +40,10 @@
         self._identity = identity
         self._availability_zone = availability_zone
         self._on_message = on_message
+        self._on_lost = on_lost
         self._active = 0
+        # The connection over which loads are followed, and the models.
+        self._followed: tuple[object, frozenset[str]] = (None, frozenset())
 
     def start(self) -> None:
         """Begins to connect."""
@@ -57,6 +61,24 @@
             with contextlib.suppress(errors.ConnectionLost):
                 peer.notify(message)
 
+    def follow(self, models: Iterable[str]) -> None:
+        """Follows the load of some models at one scheduler.
+
+        Two schedulers would send the same loads, which costs twice the bytes.
+        """
+        wanted = frozenset(models)
+        link = next(
+            (peer.connection for peer in self.peers if peer.connection), None
+        )
+        if link is None or self._followed == (link, wanted):
+            return
+        before = self._followed[0]
+        for peer in self.peers:
+            if peer.connection is not None and peer.connection is before:
+                peer.connection.notify(messages.Interest())
+        link.notify(messages.Interest(models=sorted(wanted)))
+        self._followed = (link, wanted)
+
     async def request(
         self,
         message: messages.Message,
@@ -96,11 +118,12 @@
         )
 
     def disconnected(self, link: connection.Connection) -> None:
-        """Nothing to do: entries expire by age."""
+        """Forgets the directory of a scheduler; entries expire by age."""
+        self._on_lost(link)
 
     async def handle(
         self, link: connection.Connection, message: messages.Message
     ) -> messages.Message | None:
         """Passes on what a scheduler publishes."""
-        self._on_message(message)
+        self._on_message(link, message)
         return None
--- a/src/monsoonhinge/scheduler/process.py
+++ b/src/monsoonhinge/scheduler/process.py
@@ -49,7 +49,9 @@
             members=config.control, identity=self.identity
         )
         self.directory = target_directory.Directory()
-        self.subscriptions = subscriptions.Subscriptions()
+        self.subscriptions = subscriptions.Subscriptions(
+            directory=self.directory
+        )
         self.book = demand.DemandBook()
         self.retention = keepalive.KeepAlive(self.control.view.policy)
         self.budgets = holder.BudgetHolder(
@@ -168,10 +170,11 @@
         now = asyncio.get_running_loop().time()
         match message:
             case messages.Subscribe():
-                self.subscriptions.add(
-                    link, message.gateway, self.directory, now
-                )
+                self.subscriptions.add(link, message.gateway)
                 return messages.Ack()
+            case messages.Interest():
+                self.subscriptions.follow(link, message.models)
+                return None
             case messages.Announcements():
                 self._take_announcements(message, now)
                 return None
@@ -256,7 +259,7 @@
             if gone:
                 self.subscriptions.remove(gone)
                 scheduler.expire(gone)
-            self.subscriptions.flush(self.directory, now)
+            self.subscriptions.flush(now)
             view = self.control.view
             if view.version != self._version:
                 self._version = view.version
--- a/src/monsoonhinge/targets/publisher.py
+++ b/src/monsoonhinge/scheduler/publisher.py
@@ -23,6 +23,8 @@
 # A target is listed as late from this age on; younger ones share one bound.
 LATE_MS = 1500
 
+_PART_TARGETS = 500
+
 _TARGET_BYTES = 96
 _REPLICA_BYTES = 24
 _EVENT_BYTES = 16
@@ -43,33 +45,36 @@
     sent: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+Key = object
+
+
 class Publisher:
     """Turns announcements into updates for subscribers.
 
     Attributes:
         directory: The directory that is published.
-        subscribers: Subscribers by name.
+        subscribers: Subscribers by key, such as their connection.
     """
 
     def __init__(self, *, directory: target_directory.Directory) -> None:
         self.directory = directory
-        self.subscribers: dict[str, Subscriber] = {}
+        self.subscribers: dict[Key, Subscriber] = {}
         self._structures: dict[str, tuple[Any, ...]] = {}
         self._changed: set[str] = set()
         self._removed: set[str] = set()
         self._loads_at = 0.0
 
-    def subscribe(self, name: str) -> None:
+    def subscribe(self, key: Key) -> None:
         """Adds a subscriber, which gets the whole directory first."""
-        self.subscribers[name] = Subscriber()
+        self.subscribers[key] = Subscriber()
 
-    def unsubscribe(self, name: str) -> None:
+    def unsubscribe(self, key: Key) -> None:
         """Removes a subscriber."""
-        self.subscribers.pop(name, None)
+        self.subscribers.pop(key, None)
 
-    def set_interest(self, name: str, models: Iterable[str]) -> None:
+    def set_interest(self, key: Key, models: Iterable[str]) -> None:
         """Replaces the models whose load a subscriber follows."""
-        subscriber = self.subscribers.get(name)
+        subscriber = self.subscribers.get(key)
         if subscriber is not None:
             subscriber.models = frozenset(models)
 
@@ -88,7 +93,7 @@
             self._changed.discard(target)
             self._removed.add(target)
 
-    def flush(self, now: float) -> list[tuple[str, list[messages.Message]]]:
+    def flush(self, now: float) -> list[tuple[Key, list[messages.Message]]]:
         """Returns the messages due for each subscriber, in order.
 
         Args:
@@ -99,26 +104,21 @@
         self._changed.clear()
         self._removed.clear()
         loads_due = now - self._loads_at >= LOAD_INTERVAL_S
+        ages = self._ages(now) if loads_due else {}
         if loads_due:
             self._loads_at = now
-        result: list[tuple[str, list[messages.Message]]] = []
-        for name, subscriber in self.subscribers.items():
+        result: list[tuple[Key, list[messages.Message]]] = []
+        for key, subscriber in self.subscribers.items():
             due: list[messages.Message] = []
             if subscriber.full:
                 subscriber.full = False
-                due.append(
-                    messages.DirectoryUpdate(
-                        full=True, targets=self.directory.snapshot(now)
-                    )
-                )
+                due += _parts(self.directory.snapshot(now), full=True)
             elif changed or removed:
-                due.append(
-                    messages.DirectoryUpdate(targets=changed, removed=removed)
-                )
+                due += _parts(changed, removed=removed)
             if loads_due:
-                due.append(self._loads(subscriber, now))
+                due.append(self._loads(subscriber, ages, now))
             if due:
-                result.append((name, due))
+                result.append((key, due))
         return result
 
     def _states(
@@ -133,11 +133,15 @@
             if target in entries
         ]
 
-    def _loads(self, subscriber: Subscriber, now: float) -> messages.Loads:
-        ages = {
+    def _ages(self, now: float) -> dict[str, int]:
+        return {
             name: _age_ms(entry, now)
             for name, entry in self.directory.entries.items()
         }
+
+    def _loads(
+        self, subscriber: Subscriber, ages: dict[str, int], now: float
+    ) -> messages.Loads:
         return messages.Loads(
             bound_ms=max(
                 (age for age in ages.values() if age < LATE_MS), default=0
@@ -181,40 +185,47 @@
     return zlib.crc32(order_id.encode())
 
 
-def apply_loads(
-    directory: target_directory.Directory, message: messages.Loads, now: float
-) -> None:
-    """Applies a heartbeat to a subscriber's copy of the directory.
+def with_load(
+    state: messages.TargetState, load: messages.TargetLoad
+) -> messages.TargetState:
+    """Returns a target's state with the load of a later announcement."""
+    by_id = {item.replica: item for item in load.loads}
+    return dataclasses.replace(
+        state,
+        sequence=load.sequence,
+        age_ms=load.age_ms,
+        cache_batch=load.cache_batch,
+        cache_events=load.cache_events,
+        replicas=[
+            dataclasses.replace(
+                replica, running=item.running, waiting=item.waiting
+            )
+            if (item := by_id.get(replica_id(replica.order_id)))
+            else replica
+            for replica in state.replicas
+        ],
+    )
+
 
-    Args:
-        directory: The copy; only targets that it knows are touched.
-        message: The heartbeat.
-        now: Current time in seconds.
-    """
-    late = {item.target: item.age_ms for item in message.late}
-    for name, entry in directory.entries.items():
-        age_ms = late.get(name, message.bound_ms)
-        entry.heard_at = max(entry.heard_at, now - age_ms / 1000)
-    for load in message.targets:
-        known = directory.entries.get(load.target)
-        if known is None or load.sequence <= known.state.sequence:
-            continue
-        by_id = {item.replica: item for item in load.loads}
-        state = known.state
-        known.state = dataclasses.replace(
-            state,
-            sequence=load.sequence,
-            cache_batch=load.cache_batch,
-            cache_events=load.cache_events,
-            replicas=[
-                dataclasses.replace(
-                    replica, running=item.running, waiting=item.waiting
-                )
-                if (item := by_id.get(replica_id(replica.order_id)))
-                else replica
-                for replica in state.replicas
-            ],
+def _parts(
+    states: list[messages.TargetState],
+    *,
+    full: bool = False,
+    removed: list[str] | None = None,
+) -> list[messages.Message]:
+    """Returns an update in messages well below the largest frame."""
+    parts: list[messages.Message] = [
+        messages.DirectoryUpdate(
+            full=full, targets=states[:_PART_TARGETS], removed=removed or []
+        )
+    ]
+    for start in range(_PART_TARGETS, len(states), _PART_TARGETS):
+        parts.append(
+            messages.DirectoryUpdate(
+                targets=states[start : start + _PART_TARGETS]
+            )
         )
+    return parts
 
 
 # A tuple takes a tenth of the time of a copy without the changing fields.
--- a/tests/scheduler/test_scheduler_process.py
+++ b/tests/scheduler/test_scheduler_process.py
@@ -266,20 +266,26 @@
     """Guards against a directory stream beyond the gateways' byte budget."""
     link = _Link()
     book = directory.Directory()
-    sender = subscriptions.Subscriptions()
-    sender.add(link, "g", book, 0.0)
+    sender = subscriptions.Subscriptions(directory=book)
+    sender.add(link, "g")
+    sender.follow(link, ["m"])
+    sender.flush(0.0)
     for number in range(100):
         now = number / 100
         state = messages.TargetState(target="t", sequence=number + 1)
         state.replicas = [messages.ReplicaState(model="m", running=number)]
         book.update(state, now)
         sender.change(state)
-        sender.flush(book, now)
+        sender.flush(now)
     assert len(link.sent) - 1 <= 3
     leaving = messages.TargetState(target="t", sequence=101, leaving=True)
     book.update(leaving, 1.01)
     sender.change(leaving)
-    assert sender.flush(book, 1.01) is not None
+    before = len(link.sent)
+    sender.flush(1.01)
+    update = link.sent[before]
+    assert isinstance(update, messages.DirectoryUpdate)
+    assert update.targets[0].leaving
 
 
 class _Link:
--- a/tests/targets/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the directory publication."""
