--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -1,17 +1,19 @@
 """Runs the consensus core on the event loop.
 
 All logic runs on the loop's thread. Only the storage write, which blocks in
-fsync, runs on a second thread: heartbeats and votes continue meanwhile, and
-proposals that arrive during a write share the next one.
+fsync, and the encoding of snapshots run on other threads: heartbeats and votes
+continue meanwhile, and proposals that arrive during a write share the next one.
 """
 
 import asyncio
+from collections.abc import Callable
 from concurrent import futures
 import contextlib
 import logging
 import random
 import typing
 
+from monsoonhinge.consensus import compaction
 from monsoonhinge.consensus import leader as raft_leader
 from monsoonhinge.consensus import metrics
 from monsoonhinge.consensus import proposals
@@ -38,8 +40,8 @@
     def apply(self, index: int, data: bytes) -> bytes:
         """Applies one committed command and returns its result."""
 
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
+    def capture(self) -> Callable[[], bytes]:
+        """Captures the whole state; the result encodes it in any thread."""
 
     def restore(self, data: bytes) -> None:
         """Replaces the whole state by a snapshot."""
@@ -94,10 +96,8 @@
         self._machine = machine
         self._transport = transport
         self._timing = timing
-        # Taking a snapshot blocks the loop; members that took it at the same
-        # index would all stall at once.
-        self._snapshot_entries = snapshot_entries + rng.randrange(
-            snapshot_entries // 4 + 1
+        self._compactor = compaction.Compactor(
+            machine=machine, entries=snapshot_entries, rng=rng
         )
         self._writer = futures.ThreadPoolExecutor(
             max_workers=1, thread_name_prefix="storage"
@@ -136,6 +136,7 @@
         self._fail(errors.MonsoonhingeError("stopped"))
         if self._writing is not None:
             await asyncio.gather(self._writing, return_exceptions=True)
+        await self._compactor.stop()
         self._writer.shutdown(wait=False)
 
     def found(self, configuration: types.Configuration) -> None:
@@ -320,7 +321,9 @@
                 self.applied = committed.snapshot.last_index
             for entry in committed.entries:
                 self._apply_entry(entry)
-            self._compact()
+            self._compactor.consider(
+                self.raft.state, applied=self.applied, done=self._flush
+            )
         except Exception as error:
             # Going on without the entry would make the members differ.
             _LOG.exception("state machine failed after %d", self.applied)
@@ -336,16 +339,6 @@
         self._progress.set()
         self._progress = asyncio.Event()
 
-    def _compact(self) -> None:
-        state = self.raft.state
-        behind = self.applied - state.log.snapshot.last_index
-        if behind >= self._snapshot_entries:
-            state.compact(
-                index=self.applied,
-                data=self._machine.snapshot(),
-                keep=self._snapshot_entries // 10,
-            )
-
     def _apply_entry(self, entry: messages.Entry) -> None:
         result = b""
         if entry.kind == types.KIND_COMMAND:
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -18,6 +18,7 @@
 from monsoonhinge.control import leases as lease_timing
 from monsoonhinge.control import members as control_members
 from monsoonhinge.control import probes as control_probes
+from monsoonhinge.control import publication
 from monsoonhinge.control import replica as control_replica
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import commands
@@ -28,6 +29,7 @@
 from monsoonhinge.runtime import settings
 
 # Commands whose time is written by the leader.
+_CHECKED = (commands.PublishConfig, commands.GrantKey)
 _STAMPED = (
     commands.ClaimCall,
     commands.FinishCall,
@@ -227,14 +229,23 @@
 
     async def _propose(self, message: messages.Propose) -> messages.Proposed:
         command = codec.decode_command(message.command)
+        if isinstance(command, _CHECKED):
+            # A set of the target size takes over a second to check, which must
+            # not delay heartbeats.
+            problem = await asyncio.get_running_loop().run_in_executor(
+                None, publication.problems, command
+            )
+            if problem:
+                refused = commands.ConfigResult(code="invalid", message=problem)
+                return messages.Proposed(result=codec.encode_result(refused))
         data = message.command
         if isinstance(command, _STAMPED):
             command.now_ms = int(time.time() * 1000)
             if isinstance(command, commands.ClaimCall):
                 command.limit_bytes = self.config.call_record_bytes
             data = codec.encode_command(command)
-        index, result = await self.driver.propose(data)
-        return messages.Proposed(index=index, result=result)
+        index, committed = await self.driver.propose(data)
+        return messages.Proposed(index=index, result=committed)
 
     async def _probe(self, link: connection.Connection) -> messages.Fresh:
         subscriber = messages.SubscriberState(
--- a/src/monsoonhinge/control/replica.py
+++ b/src/monsoonhinge/control/replica.py
@@ -1,6 +1,7 @@
 """The state machine as the replicated log sees it."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 from monsoonhinge.config import delta
@@ -39,9 +40,9 @@
         self._notify()
         return codec.encode_result(result)
 
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-        return self.machine.snapshot()
+    def capture(self) -> Callable[[], bytes]:
+        """Captures the whole state; the result encodes it in any thread."""
+        return self.machine.capture()
 
     def restore(self, data: bytes) -> None:
         """Replaces the whole state by a snapshot."""
