--- a/tests/features/test_targets.py
+++ b/tests/features/test_targets.py
@@ -71,13 +71,13 @@
     system: deployment.Deployment, seen: dict[str, Any], model: str
 ) -> None:
     assert system.answer(model).status == 200
+    process = system.cluster.nodes[seen["server"]].process
+    assert process is not None
+    assert process.wait(30) == 0
     assert any(
         name != seen["server"] and state == "loaded"
         for name, state in system.replicas(model)
     )
-    process = system.cluster.nodes[seen["server"]].process
-    assert process is not None
-    assert process.wait(30) == 0
 
 
 @pytest_bdd.given(parse("loads take {seconds:d} s"))
