Name prompt prefixes in one place and make budgets no setting

Cause: the gateway and the stand-in engine each had a copy of the prefix names, and a setting could switch token budgets off. A difference between the copies would only have shown as a lower cache hit rate. Ruled out: keeping the setting for tests; they pass a constructor argument. Conclusion: no configuration runs requests beyond a team's rate.

--- a/src/monsoonhinge/bench/routing.py
+++ b/src/monsoonhinge/bench/routing.py
@@ -14,9 +14,9 @@
 import itertools
 import random
 
-from monsoonhinge.gateway import prefixes
 from monsoonhinge.gateway import routing
 from monsoonhinge.protocol import messages
+from monsoonhinge.targets import prefixes
 
 _MODEL = "assistant"
 _GATEWAYS = 8
@@ -249,7 +249,7 @@
 @functools.cache
 def _prefix(prompt: int) -> list[int]:
     text = f"{prompt:08d}".encode() * (prefixes.BLOCK_BYTES // 8)
-    return prefixes.prefixes(_MODEL, text)
+    return prefixes.prefix_names(_MODEL, text)
 
 
 def main() -> None:
--- a/src/monsoonhinge/gateway/models.py
+++ b/src/monsoonhinge/gateway/models.py
@@ -13,12 +13,12 @@
 from monsoonhinge.gateway import attempts
 from monsoonhinge.gateway import callers
 from monsoonhinge.gateway import dispatch
-from monsoonhinge.gateway import prefixes
 from monsoonhinge.gateway import refusal
 from monsoonhinge.gateway import relay
 from monsoonhinge.gateway import routing
 from monsoonhinge.gateway import sessions
 from monsoonhinge.gateway import wallet
+from monsoonhinge.targets import prefixes
 
 _MAX_CHOICES = 128
 _MAX_OUTPUT_TOKENS = 10_000_000
@@ -74,7 +74,9 @@
                 name=model,
                 adapter=adapter,
                 max_concurrency=view.models[model].max_concurrency,
-                prefixes=prefixes.prefixes(adapter or model, _prompt(document)),
+                prefixes=prefixes.prefix_names(
+                    adapter or model, prefixes.prompt_of(document)
+                ),
             ),
             team=admitted.team,
             weight=team.weight,
@@ -192,9 +194,3 @@
             step="parse",
         )
     return value
-
-
-def _prompt(document: dict[str, Any]) -> bytes:
-    prompt = document.get("messages", document.get("prompt", ""))
-    text = prompt if isinstance(prompt, str) else json.dumps(prompt)
-    return text.encode(errors="replace")
--- a/src/monsoonhinge/gateway/prefixes.py
+++ b/src/monsoonhinge/gateway/prefixes.py
@@ -1,31 +1,12 @@
-"""Prompt prefixes and which targets hold them in their cache.
-
-A prompt is cut into blocks of ``BLOCK_BYTES``. Prefix k is named by the first
-63 bits of BLAKE2b over the model name and the first k blocks; targets use the
-same names in their cache events.
-"""
+"""Which prompt prefixes targets hold in their cache."""
 
 from collections.abc import Iterable, Sequence
-import hashlib
 
 from monsoonhinge.protocol import messages
 
-BLOCK_BYTES = 512
-_MAX_BLOCKS = 32
 _MAX_PREFIXES = 65_536
 
 
-def prefixes(model: str, prompt: bytes) -> list[int]:
-    """Returns the names of the prompt's prefixes, the shortest first."""
-    names = []
-    state = hashlib.blake2b(model.encode() + b"\0", digest_size=8)
-    end = min(len(prompt) // BLOCK_BYTES, _MAX_BLOCKS) * BLOCK_BYTES
-    for start in range(0, end, BLOCK_BYTES):
-        state.update(prompt[start : start + BLOCK_BYTES])
-        names.append(int.from_bytes(state.copy().digest(), "big") >> 1)
-    return names
-
-
 class Cache:
     """Prefixes that one target is known to hold."""
 
--- a/src/monsoonhinge/gateway/process.py
+++ b/src/monsoonhinge/gateway/process.py
@@ -44,7 +44,16 @@
 class GatewayProcess:
     """Serves callers."""
 
-    def __init__(self, config: settings.Gateway) -> None:
+    def __init__(
+        self, config: settings.Gateway, *, enforce_budgets: bool = True
+    ) -> None:
+        """Makes the process.
+
+        Args:
+            config: Settings.
+            enforce_budgets: Whether requests need token grants; only tests
+                without a budget holder run without them.
+        """
         self.config = config
         self.identity = service.identity(config, "gateway")
         self.control = control_client.Client(
@@ -66,7 +75,7 @@
             gateway=f"{self.identity.node}/{self.identity.incarnation}",
         )
         self.sessions = sessions.Sessions()
-        purse = wallet.Wallet() if config.enforce_budgets else None
+        purse = wallet.Wallet() if enforce_budgets else None
         self.dispatcher = dispatch.Dispatcher(
             waiting=queue.Queue(
                 max_count=config.max_waiting,
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -105,7 +105,6 @@
         key_secret: Secret under which caller keys are hashed.
         max_waiting: Most waiting requests.
         max_waiting_bytes: Most memory held by waiting requests.
-        enforce_budgets: Whether requests need token grants of a scheduler.
     """
 
     callers: Address
@@ -117,7 +116,6 @@
     max_stream_staleness_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     max_waiting: Annotated[int, pydantic.Field(gt=0)] = 10_000
     max_waiting_bytes: Annotated[int, pydantic.Field(gt=0)] = 64 * 1024 * 1024
-    enforce_budgets: bool = True
 
 
 class Operator(Strict):
--- a/src/monsoonhinge/targets/prefixes.py
+++ b/src/monsoonhinge/targets/prefixes.py
@@ -4,7 +4,6 @@
 63 bits of BLAKE2b over the model name, a zero byte and the first k blocks.
 """
 
-from collections.abc import Iterator
 import hashlib
 import json
 from typing import Any
@@ -23,19 +22,21 @@
         value = document.get(field)
         if value:
             text = value if isinstance(value, str) else json.dumps(value)
-            return text.encode()
+            return text.encode(errors="replace")
     return b""
 
 
-def prefix_names(model: str, prompt: bytes) -> Iterator[int]:
-    """Yields the names of the prompt's whole blocks, the shortest first.
+def prefix_names(model: str, prompt: bytes) -> list[int]:
+    """Returns the names of the prompt's whole blocks, the shortest first.
 
     Args:
         model: Model or adapter name, since its cache entries fit no other.
         prompt: The prompt.
     """
+    names = []
     state = hashlib.blake2b(model.encode() + b"\0", digest_size=8)
     for number in range(min(len(prompt) // BLOCK_BYTES, MAX_BLOCKS)):
         start = number * BLOCK_BYTES
         state.update(prompt[start : start + BLOCK_BYTES])
-        yield int.from_bytes(state.copy().digest(), "big") >> 1
+        names.append(int.from_bytes(state.copy().digest(), "big") >> 1)
+    return names
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -258,7 +258,12 @@
 class Gateway:
     """A gateway and its stand-ins."""
 
-    def __init__(self, *targets: Target, **fields: Any) -> None:
+    def __init__(
+        self,
+        *targets: Target,
+        enforce_budgets: bool = False,
+        **fields: Any,
+    ) -> None:
         self.targets = targets
         self.control = Control()
         self.sent: list[messages.Message] = []
@@ -274,10 +279,10 @@
                     "targets": _address(),
                     "control": [{"name": "c", "address": _address()}],
                     "schedulers": [_address()],
-                    "enforce_budgets": False,
                     **fields,
                 }
-            )
+            ),
+            enforce_budgets=enforce_budgets,
         )
         fake: Any = self.control
         self.process.control = fake
