Show the role of subscribers in the status

Cause: the control dump gave only a version per subscriber while the command line also shows a role, so the column was empty in the demo's output. Reading the role from the node name was ruled out. After: the dump has both and the command line reads one form only.

--- a/src/monsoonhinge/cli/cluster.py
+++ b/src/monsoonhinge/cli/cluster.py
@@ -29,11 +29,7 @@
 def subscribers(status: Mapping[str, Any]) -> dict[str, Subscriber]:
     """Returns the live subscribers by session, without commands."""
     return {
-        name: Subscriber(
-            version=entry.get("version", 0), role=entry.get("role", "")
-        )
-        if isinstance(entry, dict)
-        else Subscriber(version=entry)
+        name: Subscriber(version=entry["version"], role=entry.get("role", ""))
         for name, entry in status.get("subscribers", {}).items()
         if not name.startswith(session.NODE_PREFIX)
     }
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -170,7 +170,10 @@
                 for link, version in self.replica.watchers.items()
             },
             "subscribers": {
-                session: subscriber.version
+                session: {
+                    "role": subscriber.role,
+                    "version": subscriber.version,
+                }
                 for session, subscriber in self.duties.subscribers.items()
             },
         }
