--- a/src/monsoonhinge/bench/cluster_slopes.py
+++ b/src/monsoonhinge/bench/cluster_slopes.py
@@ -18,13 +18,14 @@
 from monsoonhinge.control import client
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import settings
 
 _KEY = "measurement-key"
 _WINDOW_S = 4.0
 _SUBSCRIBERS = (20, 60, 120)
-_TARGETS = (50, 150, 400)
+_TARGETS = (100, 200, 400)
 _COMMITS = (200, 600, 1_200)
 _REQUESTS = (300, 900, 1_800)
 _CHUNKS = (2_000, 8_000, 24_000)
@@ -40,7 +41,7 @@
     cluster = local.Cluster.plan(
         folder,
         controls=3,
-        schedulers=1,
+        schedulers=2,
         gateways=1,
         engines=1,
         services=1,
@@ -269,9 +270,14 @@
 
 
 async def _targets(cluster: local.Cluster) -> list[fit.Slope]:
-    (node,) = cluster.of("scheduler")
+    """Measures a standby scheduler.
+
+    The targets' replicas have no decisions, so the active scheduler would
+    order all of them to be unloaded.
+    """
+    node = await _standby(cluster)
     address = node.settings["listen"]
-    peer = connection.Peer(
+    peer = endpoint.Peer(
         host=address["host"],
         port=address["port"],
         identity=_identity("measurement", "gateway"),
@@ -282,43 +288,60 @@
     costs, sent, sequence = [], [], 0
     name = 'monsoonhinge_peer_sent_bytes_total{role="gateway"}'
     for size in _TARGETS:
-        before = await _metrics(node)
-        for _ in range(int(_WINDOW_S)):
+        before = {}
+        # The structure of new targets is sent in the first second.
+        for second in range(int(_WINDOW_S) + 2):
+            if second == 2:
+                before = await _metrics(node)
             sequence += 1
-            for first in range(0, size, 25):
-                peer.notify(
-                    messages.Announcements(
-                        targets=[
-                            sample.target(n, sequence, replicas=8)
-                            for n in range(first, min(first + 25, size))
-                        ]
-                    )
-                )
+            _announce(peer, size, sequence)
             await asyncio.sleep(1)
         after = await _metrics(node)
-        costs.append(
-            (
-                after["process_cpu_seconds_total"]
-                - before["process_cpu_seconds_total"]
-            )
-            / _WINDOW_S
-            * 1e6
-        )
+        processor = "process_cpu_seconds_total"
+        costs.append((after[processor] - before[processor]) / _WINDOW_S * 1e6)
         # Two gateways subscribe: the real one and the measuring one.
-        sent.append((after.get(name, 0) - before.get(name, 0)) / _WINDOW_S / 2)
+        sent.append((after[name] - before[name]) / _WINDOW_S / 2)
     await peer.stop()
     await asyncio.sleep(4)
     sizes = [float(size) for size in _TARGETS]
     return [
         fit.Slope(
-            "announced target (scheduler)", "target", "us/s", sizes, costs
+            "announced target (standby scheduler)",
+            "target",
+            "us/s",
+            sizes,
+            costs,
         ),
         fit.Slope(
-            "directory bytes to one gateway", "target", "B/s", sizes, sent
+            "directory bytes to one gateway, no model followed",
+            "target",
+            "B/s",
+            sizes,
+            sent,
         ),
     ]
 
 
+async def _standby(cluster: local.Cluster) -> local.Node:
+    held = 'monsoonhinge_scheduler_lease_held{lease="scheduler"}'
+    for node in cluster.of("scheduler"):
+        if not (await _metrics(node)).get(held):
+            return node
+    raise RuntimeError("no scheduler is on standby")
+
+
+def _announce(peer: endpoint.Peer, size: int, sequence: int) -> None:
+    for first in range(0, size, 25):
+        peer.notify(
+            messages.Announcements(
+                targets=[
+                    sample.target(n, sequence, replicas=8)
+                    for n in range(first, min(first + 25, size))
+                ]
+            )
+        )
+
+
 async def _requests(cluster: local.Cluster) -> list[fit.Slope]:
     (gateway,) = cluster.of("gateway")
     url = f"http://127.0.0.1:{gateway.settings['callers']['port']}"
--- a/src/monsoonhinge/bench/slopes.py
+++ b/src/monsoonhinge/bench/slopes.py
@@ -19,6 +19,7 @@
 from monsoonhinge.bench import cluster_slopes
 from monsoonhinge.bench import fit
 from monsoonhinge.bench import sample
+from monsoonhinge.bench import scheduler_slopes
 from monsoonhinge.config import schema
 from monsoonhinge.config import validate
 from monsoonhinge.config import view
@@ -190,7 +191,7 @@
         "--inside", action="store_true", help="skip the real processes"
     )
     options = parser.parse_args()
-    rows = config_slopes() + message_slopes()
+    rows = config_slopes() + message_slopes() + scheduler_slopes.measure()
     if not options.inside:
         with tempfile.TemporaryDirectory() as folder:
             rows += asyncio.run(cluster_slopes.measure(pathlib.Path(folder)))
--- a/src/monsoonhinge/consensus/transport.py
+++ b/src/monsoonhinge/consensus/transport.py
@@ -5,6 +5,7 @@
 
 from monsoonhinge.consensus import types
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 
@@ -32,7 +33,7 @@
     def __init__(
         self, *, identity: connection.Identity, handler: connection.Handler
     ) -> None:
-        self.peers: dict[str, connection.Peer] = {}
+        self.peers: dict[str, endpoint.Peer] = {}
         self._identity = identity
         self._handler = handler
         self._routes: dict[str, connection.Connection] = {}
@@ -54,7 +55,7 @@
             task = asyncio.get_running_loop().create_task(peer.stop())
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
-        self.peers[name] = connection.Peer(
+        self.peers[name] = endpoint.Peer(
             host=host,
             port=port,
             identity=self._identity,
--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -14,6 +14,7 @@
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
@@ -60,7 +61,7 @@
         names = [member.name for member in members]
         self.identity = identity
         self.peers = {
-            member.name: connection.Peer(
+            member.name: endpoint.Peer(
                 host=member.address.host,
                 port=member.address.port,
                 identity=identity,
--- a/src/monsoonhinge/control/members.py
+++ b/src/monsoonhinge/control/members.py
@@ -8,6 +8,7 @@
 from monsoonhinge.consensus import transport as raft_transport
 from monsoonhinge.consensus import types
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
@@ -93,7 +94,7 @@
                 change is not possible now.
         """
         self._driver.raft.require_leadership("add member")
-        peer = connection.Peer(
+        peer = endpoint.Peer(
             host=request.host,
             port=request.port,
             identity=self._connect_as,
@@ -167,7 +168,7 @@
         )
 
 
-async def _describe(peer: connection.Peer) -> messages.MemberDescription:
+async def _describe(peer: endpoint.Peer) -> messages.MemberDescription:
     loop = asyncio.get_running_loop()
     deadline = loop.time() + _CONTACT_TIMEOUT_S
     while True:
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -23,6 +23,7 @@
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import service
@@ -85,7 +86,7 @@
         self.probes = control_probes.ProbeRelay(
             driver=self.driver, transport=self.transport
         )
-        self.server = connection.Server(identity=self.identity, handler=self)
+        self.server = endpoint.Server(identity=self.identity, handler=self)
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
--- a/src/monsoonhinge/gateway/schedulers.py
+++ b/src/monsoonhinge/gateway/schedulers.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
@@ -29,7 +30,7 @@
         on_lost: Callable[[object], None],
     ) -> None:
         self.peers = [
-            connection.Peer(
+            endpoint.Peer(
                 host=address.host,
                 port=address.port,
                 identity=identity,
--- a/src/monsoonhinge/protocol/connection.py
+++ b/src/monsoonhinge/protocol/connection.py
@@ -5,7 +5,6 @@
 import dataclasses
 import logging
 import os
-import random
 import typing
 from typing import TypeVar
 
@@ -22,9 +21,6 @@
 # A peer that does not read is disconnected instead of filling memory.
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
-_RECONNECT_MIN_S = 0.05
-_RECONNECT_MAX_S = 1.0
-
 _LOG = logging.getLogger(__name__)
 
 _SENT_BYTES = prometheus_client.Counter(
@@ -61,14 +57,14 @@
 class Handler(typing.Protocol):
     """Receives what happens on a connection."""
 
-    def connected(self, connection: "Connection") -> None:
+    def connected(self, link: "Connection") -> None:
         """Called once both sides have authenticated."""
 
-    def disconnected(self, connection: "Connection") -> None:
+    def disconnected(self, link: "Connection") -> None:
         """Called once when an authenticated connection has ended."""
 
     async def handle(
-        self, connection: "Connection", message: messages.Message
+        self, link: "Connection", message: messages.Message
     ) -> messages.Message | None:
         """Answers a request; the result for a notification is ignored.
 
@@ -361,179 +357,3 @@
             _LOG.debug(
                 "reply not sent", extra={"step": step, "peer": self.peer}
             )
-
-
-class Server:
-    """Accepts connections from other processes.
-
-    Attributes:
-        connections: Authenticated connections.
-    """
-
-    def __init__(self, *, identity: Identity, handler: Handler) -> None:
-        self.identity = identity
-        self.connections: set[Connection] = set()
-        self._handler = handler
-        self._server: asyncio.Server | None = None
-
-    async def start(self, *, host: str, port: int) -> None:
-        """Listens on an address."""
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(
-                identity=self.identity, handler=self, client=False
-            ),
-            host,
-            port,
-        )
-
-    async def stop(self) -> None:
-        """Stops listening and closes all connections."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self.connections):
-            connection.abort()
-
-    def connected(self, connection: Connection) -> None:
-        """Registers an authenticated connection."""
-        self.connections.add(connection)
-        self._handler.connected(connection)
-
-    def disconnected(self, connection: Connection) -> None:
-        """Removes a connection that has ended."""
-        self.connections.discard(connection)
-        self._handler.disconnected(connection)
-
-    async def handle(
-        self, connection: Connection, message: messages.Message
-    ) -> messages.Message | None:
-        """Passes a message on to the handler."""
-        return await self._handler.handle(connection, message)
-
-
-class Peer:
-    """A connection to one address that is made again when it is lost.
-
-    Attributes:
-        host: IP address.
-        port: TCP port.
-        connection: The usable connection, if there is one.
-    """
-
-    def __init__(
-        self,
-        *,
-        host: str,
-        port: int,
-        identity: Identity,
-        handler: Handler,
-        rng: random.Random | None = None,
-    ) -> None:
-        self.host = host
-        self.port = port
-        self.connection: Connection | None = None
-        self._identity = identity
-        self._handler = handler
-        self._rng = rng or random.Random()
-        self._task: asyncio.Task[None] | None = None
-        self._wakeup = asyncio.Event()
-
-    @property
-    def address(self) -> str:
-        """Address as ``host:port``."""
-        return f"{self.host}:{self.port}"
-
-    def start(self) -> None:
-        """Begins to connect in the background."""
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def stop(self) -> None:
-        """Closes the connection and stops connecting."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-            self._task = None
-        if self.connection is not None:
-            self.connection.abort()
-
-    async def request(
-        self,
-        message: messages.Message,
-        reply_type: type[_Reply],
-        *,
-        timeout: float,
-    ) -> _Reply:
-        """Sends a request over the current connection.
-
-        Raises:
-            errors.ConnectionLost: There is no connection, or it was lost.
-            errors.RequestTimeout: No reply came in time.
-            errors.RemoteError: The peer answered with an error.
-        """
-        return await self._usable(message).request(
-            message, reply_type, timeout=timeout
-        )
-
-    def notify(self, message: messages.Message) -> None:
-        """Sends a notification over the current connection.
-
-        Raises:
-            errors.ConnectionLost: There is no connection.
-        """
-        self._usable(message).notify(message)
-
-    def connected(self, connection: Connection) -> None:
-        """Makes an authenticated connection the current one."""
-        self.connection = connection
-        self._handler.connected(connection)
-
-    def disconnected(self, connection: Connection) -> None:
-        """Drops the connection and wakes the task that reconnects."""
-        if self.connection is connection:
-            self.connection = None
-        self._wakeup.set()
-        self._handler.disconnected(connection)
-
-    async def handle(
-        self, connection: Connection, message: messages.Message
-    ) -> messages.Message | None:
-        """Passes a message on to the handler."""
-        return await self._handler.handle(connection, message)
-
-    def _usable(self, message: messages.Message) -> Connection:
-        if self.connection is None:
-            raise errors.ConnectionLost(
-                "not connected", step=type(message).__name__, peer=self.address
-            )
-        return self.connection
-
-    async def _run(self) -> None:
-        delay = _RECONNECT_MIN_S
-        while True:
-            self._wakeup.clear()
-            if await self._connect():
-                delay = _RECONNECT_MIN_S
-                await self._wakeup.wait()
-            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
-            delay = min(delay * 2, _RECONNECT_MAX_S)
-
-    async def _connect(self) -> bool:
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(
-                        identity=self._identity, handler=self, client=True
-                    ),
-                    self.host,
-                    self.port,
-                )
-                await connection.wait_ready()
-        except (OSError, TimeoutError, errors.MonsoonhingeError) as error:
-            _LOG.debug(
-                "cannot connect: %s",
-                error,
-                extra={"step": "connect", "peer": self.address},
-            )
-            return False
-        return True
--- /dev/null
+++ b/src/monsoonhinge/protocol/endpoint.py
@@ -0,0 +1,195 @@
+"""The two ends of a connection: a server and a reconnecting client."""
+
+import asyncio
+import logging
+import random
+from typing import TypeVar
+
+from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+
+_RECONNECT_MIN_S = 0.05
+_RECONNECT_MAX_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+_Reply = TypeVar("_Reply")
+
+
+class Server:
+    """Accepts connections from other processes.
+
+    Attributes:
+        connections: Authenticated connections.
+    """
+
+    def __init__(
+        self, *, identity: connection.Identity, handler: connection.Handler
+    ) -> None:
+        self.identity = identity
+        self.connections: set[connection.Connection] = set()
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def start(self, *, host: str, port: int) -> None:
+        """Listens on an address."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: connection.Connection(
+                identity=self.identity, handler=self, client=False
+            ),
+            host,
+            port,
+        )
+
+    async def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.connections):
+            link.abort()
+
+    def connected(self, link: connection.Connection) -> None:
+        """Registers an authenticated connection."""
+        self.connections.add(link)
+        self._handler.connected(link)
+
+    def disconnected(self, link: connection.Connection) -> None:
+        """Removes a connection that has ended."""
+        self.connections.discard(link)
+        self._handler.disconnected(link)
+
+    async def handle(
+        self, link: connection.Connection, message: messages.Message
+    ) -> messages.Message | None:
+        """Passes a message on to the handler."""
+        return await self._handler.handle(link, message)
+
+
+class Peer:
+    """A connection to one address that is made again when it is lost.
+
+    Attributes:
+        host: IP address.
+        port: TCP port.
+        connection: The usable connection, if there is one.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        identity: connection.Identity,
+        handler: connection.Handler,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.connection: connection.Connection | None = None
+        self._identity = identity
+        self._handler = handler
+        self._rng = rng or random.Random()
+        self._task: asyncio.Task[None] | None = None
+        self._wakeup = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """Address as ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    def start(self) -> None:
+        """Begins to connect in the background."""
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Closes the connection and stops connecting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+        if self.connection is not None:
+            self.connection.abort()
+
+    async def request(
+        self,
+        message: messages.Message,
+        reply_type: type[_Reply],
+        *,
+        timeout: float,
+    ) -> _Reply:
+        """Sends a request over the current connection.
+
+        Raises:
+            errors.ConnectionLost: There is no connection, or it was lost.
+            errors.RequestTimeout: No reply came in time.
+            errors.RemoteError: The peer answered with an error.
+        """
+        return await self._usable(message).request(
+            message, reply_type, timeout=timeout
+        )
+
+    def notify(self, message: messages.Message) -> None:
+        """Sends a notification over the current connection.
+
+        Raises:
+            errors.ConnectionLost: There is no connection.
+        """
+        self._usable(message).notify(message)
+
+    def connected(self, link: connection.Connection) -> None:
+        """Makes an authenticated connection the current one."""
+        self.connection = link
+        self._handler.connected(link)
+
+    def disconnected(self, link: connection.Connection) -> None:
+        """Drops the connection and wakes the task that reconnects."""
+        if self.connection is link:
+            self.connection = None
+        self._wakeup.set()
+        self._handler.disconnected(link)
+
+    async def handle(
+        self, link: connection.Connection, message: messages.Message
+    ) -> messages.Message | None:
+        """Passes a message on to the handler."""
+        return await self._handler.handle(link, message)
+
+    def _usable(self, message: messages.Message) -> connection.Connection:
+        if self.connection is None:
+            raise errors.ConnectionLost(
+                "not connected", step=type(message).__name__, peer=self.address
+            )
+        return self.connection
+
+    async def _run(self) -> None:
+        delay = _RECONNECT_MIN_S
+        while True:
+            self._wakeup.clear()
+            if await self._connect():
+                delay = _RECONNECT_MIN_S
+                await self._wakeup.wait()
+            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+            delay = min(delay * 2, _RECONNECT_MAX_S)
+
+    async def _connect(self) -> bool:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(connection.HANDSHAKE_TIMEOUT_S):
+                _, link = await loop.create_connection(
+                    lambda: connection.Connection(
+                        identity=self._identity, handler=self, client=True
+                    ),
+                    self.host,
+                    self.port,
+                )
+                await link.wait_ready()
+        except (OSError, TimeoutError, errors.MonsoonhingeError) as error:
+            _LOG.debug(
+                "cannot connect: %s",
+                error,
+                extra={"step": "connect", "peer": self.address},
+            )
+            return False
+        return True
--- a/src/monsoonhinge/scheduler/process.py
+++ b/src/monsoonhinge/scheduler/process.py
@@ -8,6 +8,7 @@
 
 from monsoonhinge.control import client as control_client
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import service
@@ -44,7 +45,7 @@
     def __init__(self, config: settings.Scheduler) -> None:
         self.config = config
         self.identity = service.identity(config, "scheduler")
-        self.server = connection.Server(identity=self.identity, handler=self)
+        self.server = endpoint.Server(identity=self.identity, handler=self)
         self.control = control_client.Client(
             members=config.control, identity=self.identity
         )
--- a/tests/control/stub.py
+++ b/tests/control/stub.py
@@ -11,6 +11,7 @@
 from monsoonhinge.control import machine
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import settings
 
@@ -35,7 +36,7 @@
         self.refuses_watch = False
         self.watchers: dict[connection.Connection, int] = {}
         self._cluster = cluster
-        self.server = connection.Server(
+        self.server = endpoint.Server(
             identity=connection.Identity(
                 node=name, role="control", incarnation=1, secret=SECRET.encode()
             ),
--- a/tests/scheduler/test_scheduler_process.py
+++ b/tests/scheduler/test_scheduler_process.py
@@ -13,6 +13,7 @@
 from monsoonhinge.control import process as control_process
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
+from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
@@ -83,7 +84,7 @@
         ]
         self.gateway = _Gateway()
         self.peers = [
-            connection.Peer(
+            endpoint.Peer(
                 host=scheduler.config.listen.host,
                 port=scheduler.config.listen.port,
                 identity=connection.Identity(
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -25,3 +25,17 @@
             assert all(name.islower() for name in names), (
                 f"line {node.lineno} imports {names}"
             )
+
+
+# Definitions of the messages are one list whose order is the protocol's.
+_LONG = {"messages.py"}
+_MAX_LINES = 400
+
+
+@pytest.mark.parametrize(
+    "path", _FILES, ids=lambda path: str(path.relative_to(_ROOT))
+)
+def test_modules_stay_small(path: pathlib.Path) -> None:
+    """Guards against modules that have more than one job."""
+    if path.name not in _LONG:
+        assert len(path.read_text().splitlines()) <= _MAX_LINES
