--- a/src/monsoonhinge/scheduler/active.py
+++ b/src/monsoonhinge/scheduler/active.py
@@ -9,6 +9,7 @@
 
 from monsoonhinge.config import view as config_view
 from monsoonhinge.control import client as control_client
+from monsoonhinge.control import keeper
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
@@ -16,7 +17,6 @@
 from monsoonhinge.scheduler import demand
 from monsoonhinge.scheduler import directory as target_directory
 from monsoonhinge.scheduler import keepalive
-from monsoonhinge.scheduler import leases
 from monsoonhinge.scheduler import metrics
 from monsoonhinge.scheduler import orders
 from monsoonhinge.targets import dialect as target_dialect
@@ -41,7 +41,7 @@
     def __init__(
         self,
         *,
-        lease: leases.LeaseKeeper,
+        lease: keeper.Keeper,
         control: control_client.Client,
         directory: target_directory.Directory,
         book: demand.DemandBook,
@@ -167,7 +167,7 @@
         """Drops a state that may differ from the log."""
         if self.core is core:
             self.core = None
-            self.lease.lose()
+            self.lease.give_up()
 
     def _send_due(self, core: coordinator.Coordinator) -> None:
         for pending in list(
--- a/src/monsoonhinge/scheduler/holder.py
+++ b/src/monsoonhinge/scheduler/holder.py
@@ -5,11 +5,11 @@
 
 from monsoonhinge.config import view as config_view
 from monsoonhinge.control import client as control_client
+from monsoonhinge.control import keeper
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.scheduler import budget
-from monsoonhinge.scheduler import leases
 from monsoonhinge.scheduler import metrics
 
 SHARD = "budget/0"
@@ -27,9 +27,7 @@
     """
 
     def __init__(self, *, holder: str, control: control_client.Client) -> None:
-        self.lease = leases.LeaseKeeper(
-            name=SHARD, holder=holder, control=control
-        )
+        self.lease = keeper.Keeper(name=SHARD, holder=holder, control=control)
         self.budget: budget.Budget | None = None
         self._control = control
         self._view = config_view.View()
@@ -114,7 +112,7 @@
 
     def _give_up(self) -> None:
         self.budget = None
-        self.lease.lose()
+        self.lease.give_up()
 
     def dump(self) -> dict[str, Any]:
         """Returns the buckets for operators."""
--- a/src/monsoonhinge/scheduler/process.py
+++ b/src/monsoonhinge/scheduler/process.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from monsoonhinge.control import client as control_client
+from monsoonhinge.control import keeper
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
@@ -18,7 +19,6 @@
 from monsoonhinge.scheduler import directory as target_directory
 from monsoonhinge.scheduler import holder
 from monsoonhinge.scheduler import keepalive
-from monsoonhinge.scheduler import leases
 from monsoonhinge.scheduler import metrics
 from monsoonhinge.scheduler import subscriptions
 from monsoonhinge.scheduler import verdicts
@@ -76,7 +76,7 @@
         """Starts listening and connecting."""
         self._dialect = http.HttpDialect()
         self.active = active.ActiveScheduler(
-            lease=leases.LeaseKeeper(
+            lease=keeper.Keeper(
                 name=active.LEASE, holder=self._holder, control=self.control
             ),
             control=self.control,
@@ -227,8 +227,8 @@
                     await self.budgets.release()
             except errors.MonsoonhingeError as error:
                 _LOG.warning("keeping leases: %s", error)
-            for keeper in (scheduler.lease, self.budgets.lease):
-                metrics.HELD.labels(keeper.name).set(keeper.held(loop.time()))
+            for held in (scheduler.lease, self.budgets.lease):
+                metrics.HELD.labels(held.name).set(held.held(loop.time()))
             await asyncio.sleep(_LEASE_TICK_S)
 
     async def _plan(self, scheduler: active.ActiveScheduler) -> None:
