--- a/src/monsoonhinge/gateway/dispatch.py
+++ b/src/monsoonhinge/gateway/dispatch.py
@@ -94,11 +94,11 @@
         *,
         waiting: queue.Queue,
         router: routing.Router,
-        purse: wallet.Wallet | None,
+        team_tokens: wallet.Wallet | None,
     ) -> None:
         self.queue = waiting
         self.router = router
-        self.wallet = purse
+        self.wallet = team_tokens
         self.ejections = retry.Ejections()
         self.verdicts = verdicts.Verdicts()
         self.changed: Callable[[str], None] = lambda lane: None
--- a/src/monsoonhinge/gateway/grants.py
+++ b/src/monsoonhinge/gateway/grants.py
@@ -31,12 +31,12 @@
     def __init__(
         self,
         *,
-        purse: wallet.Wallet,
+        team_tokens: wallet.Wallet,
         dispatcher: dispatch.Dispatcher,
         holders: schedulers.Schedulers,
         gateway: str,
     ) -> None:
-        self.wallet = purse
+        self.wallet = team_tokens
         self.dispatcher = dispatcher
         self._holders = holders
         self._gateway = gateway
--- a/src/monsoonhinge/gateway/process.py
+++ b/src/monsoonhinge/gateway/process.py
@@ -75,7 +75,7 @@
             gateway=f"{self.identity.node}/{self.identity.incarnation}",
         )
         self.sessions = sessions.Sessions()
-        purse = wallet.Wallet() if enforce_budgets else None
+        team_tokens = wallet.Wallet() if enforce_budgets else None
         self.dispatcher = dispatch.Dispatcher(
             waiting=queue.Queue(
                 max_count=config.max_waiting,
@@ -85,7 +85,7 @@
                 availability_zone=config.availability_zone,
                 rng=random.Random(),
             ),
-            purse=purse,
+            team_tokens=team_tokens,
         )
         self.targets = targets.Targets(dispatcher=self.dispatcher)
         self.demand = demand.Reporter(
@@ -95,12 +95,12 @@
         )
         self.grants = (
             grants.Grants(
-                purse=purse,
+                team_tokens=team_tokens,
                 dispatcher=self.dispatcher,
                 holders=self.schedulers,
                 gateway=self.identity.node,
             )
-            if purse is not None
+            if team_tokens is not None
             else None
         )
         self.draining = False
@@ -196,7 +196,7 @@
     def dump(self) -> dict[str, Any]:
         """Returns the state for operators."""
         now = asyncio.get_running_loop().time()
-        purse = self.dispatcher.wallet
+        team_tokens = self.dispatcher.wallet
         return {
             "version": self.control.view.version,
             "staleness_s": self.control.staleness(now),
@@ -213,7 +213,9 @@
             ],
             "tokens": {
                 team: account.balance(now)
-                for team, account in (purse.accounts if purse else {}).items()
+                for team, account in (
+                    team_tokens.accounts if team_tokens else {}
+                ).items()
             },
             "targets": self.targets.usable(),
             "loads": self.dispatcher.router.loads(),
