Ask for the next request's tokens as a whole and for the rest in part

Cause: a gateway put the need of all waiting requests into one figure, which the holder meets only as a whole up to half the burst. With a nearly empty bucket many small requests of a team so waited until the tokens of all had gathered. After: 'wanted' is what one blocked request lacks, 'waiting' the rest. New unit test; it failed before (wanted 290).

--- a/src/monsoonhinge/gateway/grants.py
+++ b/src/monsoonhinge/gateway/grants.py
@@ -75,7 +75,10 @@
         """Asks for tokens of a team if it needs some now."""
         now = asyncio.get_running_loop().time()
         account = self.wallet.account(team)
-        ask = account.ask(self.dispatcher.queue.needed(team), now)
+        queue = self.dispatcher.queue
+        ask = account.ask(
+            queue.needed(team), now, first=queue.first_needed(team)
+        )
         if ask is not None:
             task = asyncio.get_running_loop().create_task(
                 self._request(team, account, ask)
@@ -115,6 +118,7 @@
                     gateway=self._gateway,
                     team=team,
                     wanted=ask.wanted,
+                    waiting=ask.waiting,
                     returned=ask.returned,
                     returned_grant=ask.returned_grant,
                 ),
@@ -130,7 +134,7 @@
         self._unanswered_since = None
         account.replied(
             max(grant.retry_after_ms / 1000, _MIN_PAUSE_S)
-            if grant.tokens < ask.wanted
+            if grant.tokens < ask.wanted + ask.waiting
             else 0.0,
             loop.time(),
         )
--- a/src/monsoonhinge/gateway/queue.py
+++ b/src/monsoonhinge/gateway/queue.py
@@ -302,6 +302,16 @@
             for name in self._blocked.get(team, ())
         )
 
+    def first_needed(self, team: str) -> int:
+        """Returns the tokens that one blocked request of a team needs."""
+        return min(
+            (
+                next(iter(self._lanes[name].groups[team].tickets)).tokens
+                for name in self._blocked.get(team, ())
+            ),
+            default=0,
+        )
+
     def blocked_teams(self) -> list[str]:
         """Returns the teams that wait for tokens."""
         return list(self._blocked)
--- a/src/monsoonhinge/gateway/wallet.py
+++ b/src/monsoonhinge/gateway/wallet.py
@@ -48,9 +48,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """What to request from the holder."""
+    """What to request from the holder.
+
+    Attributes:
+        wanted: Tokens that the next request needs, of use only as a whole.
+        waiting: Tokens that others need, of use also in part.
+        returned: Tokens of ``returned_grant`` that came back in total.
+        returned_grant: Grant that they belong to.
+    """
 
     wanted: int
+    waiting: int = 0
     returned: int = 0
     returned_grant: int = 0
 
@@ -132,8 +140,14 @@
         self._expire(now)
         self._pay_debt()
 
-    def ask(self, waiting: int, now: float) -> Ask | None:
-        """Returns what to request from the holder now, if anything."""
+    def ask(self, waiting: int, now: float, *, first: int = 0) -> Ask | None:
+        """Returns what to request from the holder now, if anything.
+
+        Args:
+            waiting: Tokens that all waiting requests need.
+            now: Current time in seconds.
+            first: Tokens that one of them needs; zero for all at once.
+        """
         self._expire(now)
         if self.asking:
             return None
@@ -150,8 +164,15 @@
         self._unsent.pop(grant_id, None)
         self._sending = grant_id
         self.asking = True
+        total = missing if wants else 0
+        wanted = total
+        if waiting and first:
+            wanted = min(total, max(0, first - self.balance(now)))
         return Ask(
-            missing if wants else 0, self._totals.get(grant_id, 0), grant_id
+            wanted=wanted,
+            waiting=total - wanted,
+            returned=self._totals.get(grant_id, 0),
+            returned_grant=grant_id,
         )
 
     def replied(self, retry_after_s: float, now: float) -> None:
--- a/tests/gateway/test_wallet.py
+++ b/tests/gateway/test_wallet.py
@@ -87,6 +87,15 @@
     assert (ask.returned_grant, ask.returned) == (7, 90)
 
 
+def test_many_small_requests_do_not_wait_for_all_their_tokens() -> None:
+    """Guards against a burst that is refused although some of it is in rate."""
+    account = wallet.Account()
+    account.add(7, 10, 2.0)
+    ask = account.ask(300, 0.0, first=30)
+    assert ask is not None
+    assert (ask.wanted, ask.waiting) == (20, 270)
+
+
 def test_usage_beyond_the_charge_is_paid_later() -> None:
     """Guards against free tokens when the prompt estimate was too low."""
     account = wallet.Account()
