Refuse nothing while no target is known

Ruled out: a lost announcement, since the same request a second later is served. After: without a known target the request waits for its own deadline. New test, which failed before. A scheduler that knows only targets that are too small still refuses. The measurement now prints the refusal's text.

--- a/src/monsoonhinge/bench/gateway.py
+++ b/src/monsoonhinge/bench/gateway.py
@@ -256,9 +256,9 @@
 
 async def _whole(post: Post, body: dict[str, Any]) -> None:
     async with post(body) as response:
-        await response.read()
+        text = await response.text()
         if response.status != 200:
-            raise RuntimeError(f"status {response.status}")
+            raise RuntimeError(f"status {response.status}: {text}")
 
 
 async def _together(works: list[Callable[[], Awaitable[None]]]) -> None:
--- a/src/monsoonhinge/scheduler/placement.py
+++ b/src/monsoonhinge/scheduler/placement.py
@@ -152,6 +152,11 @@
             cost=cost,
         )
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target is known."""
+        return not self._rooms
+
     def fits_anywhere(self, request: Request) -> bool:
         """Returns whether any target is large enough when it is empty."""
         return any(
--- a/src/monsoonhinge/scheduler/planner.py
+++ b/src/monsoonhinge/scheduler/planner.py
@@ -279,11 +279,13 @@
     def _place(self, item: weightstore.Wanted, ready_at: float) -> None:
         model = self._view.models[item.model]
         request = self._request(model)
+        if self._placer.is_empty:
+            # After a start an engine may yet announce itself in time.
+            self._expect(item.model, verdicts.Expectation(ready_at))
+            return
         if not self._placer.fits_anywhere(request):
-            self._expect(
-                item.model,
-                verdicts.Expectation.never("no target is large enough"),
-            )
+            never = verdicts.Expectation.never("no target is large enough")
+            self._expect(item.model, never)
             return
         chosen = self._placer.choose(request)
         if chosen is None:
--- a/tests/scheduler/test_scheduler_policy.py
+++ b/tests/scheduler/test_scheduler_policy.py
@@ -125,6 +125,18 @@
     assert 900 <= by_model["m0"].ready_in_ms <= 1500
 
 
+def test_no_known_target_refuses_nothing() -> None:
+    """Guards against refusals before the targets have announced themselves."""
+    case = world.World(world.make_view(), [])
+    case.fail_over()
+    case.ask("m0", 1)
+    case.plan()
+    found = verdicts.message(
+        case.active.core.expectations, case.book.waiting_at("g"), case.now
+    )
+    assert not any(item.refused for item in found.items)
+
+
 def test_stale_announcement_changes_nothing() -> None:
     """Guards against a late announcement that hides a newer one."""
     known = directory.Directory()
