--- a/src/monsoonhinge/scheduler/planner.py
+++ b/src/monsoonhinge/scheduler/planner.py
@@ -289,10 +289,8 @@
             return
         chosen = self._placer.choose(request)
         if chosen is None:
-            self._expect(
-                item.model,
-                verdicts.Expectation(ready_at + self._residency.room_after()),
-            )
+            room_at = ready_at + self._residency.room_after()
+            self._expect(item.model, verdicts.Expectation(room_at))
             return
         self._expect(
             item.model,
