--- a/src/monsoonhinge/config/reference.py
+++ b/src/monsoonhinge/config/reference.py
@@ -12,6 +12,7 @@
 import pydantic
 import pydantic_core
 
+from monsoonhinge.config import ingress
 from monsoonhinge.config import schema
 from monsoonhinge.runtime import settings
 
@@ -29,6 +30,12 @@
     schema.NonRepeatable,
     schema.Store,
     schema.Policy,
+    ingress.IngressRoute,
+    ingress.IngressBackend,
+    ingress.IngressService,
+    ingress.IngressEngine,
+    ingress.EngineModel,
+    ingress.IngressLimits,
 )
 _SETTINGS: tuple[type[pydantic.BaseModel], ...] = (
     settings.Process,
@@ -36,6 +43,7 @@
     settings.Scheduler,
     settings.Gateway,
     settings.Operator,
+    settings.Ingress,
     settings.Member,
     settings.Address,
 )
--- a/src/monsoonhinge/config/schema.py
+++ b/src/monsoonhinge/config/schema.py
@@ -5,41 +5,19 @@
 
 import pydantic
 
-Name = Annotated[
-    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
-]
-
-# Numbers stay exact in JSON documents and within the fields of messages.
-MAX_INTEGER = 2**53
-MAX_NUMBER = 1e12
-
-Positive = Annotated[int, pydantic.Field(gt=0, le=MAX_INTEGER)]
-NotNegative = Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
-PositiveFloat = Annotated[
-    float, pydantic.Field(gt=0, le=MAX_NUMBER, allow_inf_nan=False)
-]
-Weight = Annotated[
-    float, pydantic.Field(ge=0, le=MAX_NUMBER, allow_inf_nan=False)
-]
-
-
-class Part(pydantic.BaseModel):
-    """Base of all parts of objects; unknown fields are errors."""
+from monsoonhinge.config import ingress
+from monsoonhinge.config import parts
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
+Name = parts.Name
+MAX_INTEGER = parts.MAX_INTEGER
+MAX_NUMBER = parts.MAX_NUMBER
+Positive = parts.Positive
+NotNegative = parts.NotNegative
+PositiveFloat = parts.PositiveFloat
+Weight = parts.Weight
 
 
-class Object(Part):
-    """Base of all objects.
-
-    Attributes:
-        name: Name of the object; unique among the objects of its kind.
-    """
-
-    name: Name
-
-
-class ModelVersion(Part):
+class ModelVersion(parts.Part):
     """One version of a model's checkpoint.
 
     Attributes:
@@ -53,7 +31,7 @@
     load_s: PositiveFloat
 
 
-class Model(Object):
+class Model(parts.Object):
     """A model that engines can load.
 
     Attributes:
@@ -86,7 +64,7 @@
         return None
 
 
-class Adapter(Object):
+class Adapter(parts.Object):
     """An adapter of a model.
 
     Attributes:
@@ -99,22 +77,32 @@
     bytes: Positive
 
 
-class Team(Object):
+class Team(parts.Object):
     """A customer's team.
 
     Attributes:
         tokens_per_s: Token rate over all VMs together.
         burst_tokens: Tokens that may be spent at once.
         weight: Share of capacity when teams compete.
+        priority: Rank of the team's requests, 0 first; it replaces that of
+            the ingress route.
+        charged_by: What a request through an ingress route costs: its tokens,
+            or one for each request.
+        call_tokens: Tokens of a request that states none.
+        unlimited: Whether rate and burst are not enforced.
     """
 
     kind: Literal["team"] = "team"
     tokens_per_s: PositiveFloat
     burst_tokens: Positive
     weight: PositiveFloat = 1.0
+    priority: Annotated[int, pydantic.Field(ge=0, le=9)] | None = None
+    charged_by: Literal["tokens", "requests"] = "tokens"
+    call_tokens: NotNegative = 1
+    unlimited: bool = False
 
 
-class Key(Object):
+class Key(parts.Object):
     """A caller key; only its keyed hash is known.
 
     Attributes:
@@ -127,7 +115,7 @@
     hash: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
 
 
-class Route(Object):
+class Route(parts.Object):
     """A name under which callers reach a model, an adapter or a service.
 
     Attributes:
@@ -154,7 +142,7 @@
     priority: Annotated[int, pydantic.Field(ge=-1_000, le=1_000)] = 0
 
 
-class NonRepeatable(Part):
+class NonRepeatable(parts.Part):
     """Calls of a service that run at most once.
 
     Attributes:
@@ -166,7 +154,7 @@
     path_prefix: Annotated[str, pydantic.Field(pattern=r"^/", max_length=1_024)]
 
 
-class Service(Object):
+class Service(parts.Object):
     """A plain HTTP service beside the engines.
 
     Attributes:
@@ -185,7 +173,7 @@
     call_tokens: NotNegative = 1
 
 
-class Store(Object):
+class Store(parts.Object):
     """Limits of the weight store.
 
     Attributes:
@@ -200,7 +188,7 @@
     concurrent_adapter_loads: Positive = 30
 
 
-class Policy(Object):
+class Policy(parts.Object):
     """What the operator weighs when replicas are kept or unloaded.
 
     Attributes:
@@ -218,13 +206,35 @@
 
 
 ConfigObject = Annotated[
-    Model | Adapter | Team | Key | Route | Service | Store | Policy,
+    Model
+    | Adapter
+    | Team
+    | Key
+    | Route
+    | Service
+    | Store
+    | Policy
+    | ingress.IngressRoute
+    | ingress.IngressService
+    | ingress.IngressLimits,
     pydantic.Field(discriminator="kind"),
 ]
 
 _ADAPTER: pydantic.TypeAdapter[Any] = pydantic.TypeAdapter(ConfigObject)
 
-AnyObject = Model | Adapter | Team | Key | Route | Service | Store | Policy
+AnyObject = (
+    Model
+    | Adapter
+    | Team
+    | Key
+    | Route
+    | Service
+    | Store
+    | Policy
+    | ingress.IngressRoute
+    | ingress.IngressService
+    | ingress.IngressLimits
+)
 
 
 def object_id(item: AnyObject) -> str:
--- a/src/monsoonhinge/config/validate.py
+++ b/src/monsoonhinge/config/validate.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from monsoonhinge.config import digest as config_digest
+from monsoonhinge.config import ingress
 from monsoonhinge.config import schema
 from monsoonhinge.runtime import errors
 
@@ -99,7 +100,8 @@
             for field, reason in _value_problems(item, objects)
         ]
     problems += _hash_problems(objects)
-    for kind in ("store", "policy"):
+    problems += _place_problems(objects)
+    for kind in ("store", "policy", "ingress_limits"):
         count = sum(item.kind == kind for item in objects.values())
         if count > 1:
             problems.append(
@@ -134,6 +136,11 @@
             if item.open_team is not None:
                 found.append(("open_team", f"team/{item.open_team}"))
             return found
+        case ingress.IngressRoute():
+            return [
+                ("backends", f"ingress_service/{backend.service}")
+                for backend in item.backends
+            ]
         case _:
             return []
 
@@ -154,6 +161,9 @@
             ]
             if len(set(calls)) != len(calls):
                 return [("non_repeatable", "an entry is repeated")]
+        case ingress.IngressRoute():
+            if not any(backend.weight for backend in item.backends):
+                return [("backends", "the weights add up to 0")]
         case schema.Policy() if item.min_keep_s > item.max_keep_s:
             return [("min_keep_s", "exceeds max_keep_s")]
     return []
@@ -215,6 +225,22 @@
     return problems
 
 
+def _place_problems(
+    objects: Mapping[str, schema.AnyObject],
+) -> list[ObjectError]:
+    owners: dict[tuple[str, str], str] = {}
+    problems: list[ObjectError] = []
+    for object_id, item in objects.items():
+        if isinstance(item, ingress.IngressRoute):
+            place = (item.host, item.path_prefix)
+            owner = owners.setdefault(place, object_id)
+            if owner != object_id:
+                problems.append(
+                    _error(object_id, "path_prefix", f"is that of {owner}")
+                )
+    return problems
+
+
 def _parse_errors(
     position: int, document: Any, error: pydantic.ValidationError
 ) -> list[ObjectError]:
--- a/src/monsoonhinge/config/view.py
+++ b/src/monsoonhinge/config/view.py
@@ -7,9 +7,11 @@
 import hmac
 from typing import TypeVar
 
+from monsoonhinge.config import ingress
+from monsoonhinge.config import parts
 from monsoonhinge.config import schema
 
-_Object = TypeVar("_Object", bound=schema.Object)
+_Object = TypeVar("_Object", bound=parts.Object)
 
 # Cached index by the kind of its objects.
 _INDEXES = {
@@ -21,10 +23,14 @@
     "key": "keys_by_hash",
     "store": "store",
     "policy": "policy",
+    "ingress_route": "ingress_routes",
+    "ingress_service": "ingress_services",
+    "ingress_limits": "ingress_limits",
 }
 
 _DEFAULT_STORE = schema.Store(name="default", loads_per_s=4.0)
 _DEFAULT_POLICY = schema.Policy(name="default")
+_DEFAULT_LIMITS = ingress.IngressLimits(name="default")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +87,39 @@
         """Weights of the operator."""
         return next(iter(self._of(schema.Policy).values()), _DEFAULT_POLICY)
 
+    @functools.cached_property
+    def ingress_routes(self) -> dict[str, dict[str, ingress.IngressRoute]]:
+        """Ingress routes by host, then by path prefix."""
+        by_host: dict[str, dict[str, ingress.IngressRoute]] = {}
+        for route in self._of(ingress.IngressRoute).values():
+            by_host.setdefault(route.host, {})[route.path_prefix] = route
+        return by_host
+
+    @functools.cached_property
+    def ingress_services(self) -> dict[str, ingress.IngressService]:
+        """Ingress services by name."""
+        return self._of(ingress.IngressService)
+
+    @functools.cached_property
+    def ingress_limits(self) -> ingress.IngressLimits:
+        """What callers of the ingress may send."""
+        found = self._of(ingress.IngressLimits).values()
+        return next(iter(found), _DEFAULT_LIMITS)
+
+    def ingress_route(
+        self, *, host: str, path: str
+    ) -> ingress.IngressRoute | None:
+        """Returns the route with the longest prefix that begins a path."""
+        by_prefix = self.ingress_routes.get(host)
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = by_prefix.get(path[: end + 1])
+            if found is not None:
+                return found
+        return None
+
     def route_model(self, route: schema.Route) -> tuple[str, str]:
         """Returns the model and adapter names of a route ("" for none)."""
         if route.adapter is not None:
--- a/src/monsoonhinge/consensus/leader.py
+++ b/src/monsoonhinge/consensus/leader.py
@@ -89,6 +89,11 @@
             or now - self.progress[voter].heard_at <= timeout
         }
 
+    def silent_for(self, member_id: str, now: float) -> float:
+        """Returns how long a member has not been heard, in seconds."""
+        progress = self.progress.get(member_id)
+        return 0.0 if progress is None else now - progress.heard_at
+
     def has_quorum(self, now: float) -> bool:
         """Returns whether a quorum was heard within one election timeout."""
         quorum = self._state.log.configuration.quorum()
--- a/src/monsoonhinge/consensus/membership.py
+++ b/src/monsoonhinge/consensus/membership.py
@@ -60,3 +60,40 @@
             )
         )
     return None
+
+
+def next_unattended_step(
+    configuration: types.Configuration,
+    *,
+    caught_up: Callable[[str], bool],
+    silent: Callable[[str], bool],
+    live: Callable[[types.Configuration], int],
+    target_voters: int,
+) -> types.Configuration | None:
+    """Returns the next change where members come and go without an operator.
+
+    A silent voter is removed only once a learner can take its place and a
+    quorum of the others is live.
+
+    Args:
+        configuration: Current configuration; it is committed.
+        caught_up: Whether the member with an id holds nearly the whole log.
+        silent: Whether a member has not been heard for a long time.
+        live: Returns how many voters of a configuration are live.
+        target_voters: Voters to have.
+    """
+    ready = [
+        m for m in configuration.members if not m.voter and caught_up(m.id)
+    ]
+    names = {learner.name for learner in ready}
+    if any(m.voter and m.name in names for m in configuration.members):
+        return next_step(configuration, caught_up)
+    if ready and len(configuration.voters) < target_voters:
+        return next_step(configuration, lambda member: member == ready[0].id)
+    for member in configuration.members:
+        if not silent(member.id) or (member.voter and not ready):
+            continue
+        wanted = remove(configuration, member.id)
+        if live(wanted) >= wanted.quorum():
+            return wanted
+    return None
--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -76,6 +76,29 @@
         self._watch_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def meet(self, member: settings.Member) -> None:
+        """Connects to a member that was not in the settings."""
+        if member.name in self.peers:
+            return
+        peer = endpoint.Peer(
+            host=member.address.host,
+            port=member.address.port,
+            identity=self.identity,
+            handler=self,
+        )
+        self.peers[member.name] = peer
+        self._subscription.add_member(member.name)
+        self._leader.add_member(member.name)
+        peer.start()
+
+    def forget(self, name: str) -> None:
+        """Stops connecting to a member that has left and is unreachable."""
+        peer = self.peers.get(name)
+        if peer is None or peer.connection is not None:
+            return
+        del self.peers[name]
+        self._spawn(peer.stop())
+
     @property
     def view(self) -> config_view.View:
         """Configuration in effect in this process."""
--- a/src/monsoonhinge/control/leader.py
+++ b/src/monsoonhinge/control/leader.py
@@ -18,6 +18,11 @@
         self._members = rng.sample(list(members), len(members))
         self._guess = ""
 
+    def add_member(self, name: str) -> None:
+        """Adds a member that may be asked."""
+        if name not in self._members:
+            self._members.append(name)
+
     def member(self, connected: Collection[str]) -> str:
         """Returns the member to ask, or "" if none is connected."""
         if self._guess in connected:
--- a/src/monsoonhinge/control/machine.py
+++ b/src/monsoonhinge/control/machine.py
@@ -92,6 +92,8 @@
         match command:
             case commands.PublishConfig():
                 return self.configuration.publish(command)
+            case commands.ReplaceConfig():
+                return self.configuration.replace(command)
             case commands.GrantKey():
                 return self.keys.grant(self.configuration, command)
             case commands.WithdrawKey():
--- a/src/monsoonhinge/control/members.py
+++ b/src/monsoonhinge/control/members.py
@@ -145,6 +145,13 @@
             )
         await self._driver.change(wanted)
 
+    def durable_enough(self) -> bool:
+        """Returns whether a commit survives the losses that are tolerated.
+
+        The operator who lists the members answers for their number.
+        """
+        return True
+
     async def advance(self) -> None:
         """Makes caught-up learners voters; called regularly on the leader."""
         leadership = self._driver.raft.leadership
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -20,6 +20,7 @@
 from monsoonhinge.control import probes as control_probes
 from monsoonhinge.control import publication
 from monsoonhinge.control import replica as control_replica
+from monsoonhinge.control import seeding
 from monsoonhinge.protocol import codec
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
@@ -30,7 +31,11 @@
 from monsoonhinge.runtime import settings
 
 # Commands whose time is written by the leader.
-_CHECKED = (commands.PublishConfig, commands.GrantKey)
+_CHECKED = (
+    commands.PublishConfig,
+    commands.ReplaceConfig,
+    commands.GrantKey,
+)
 _STAMPED = (
     commands.ClaimCall,
     commands.FinishCall,
@@ -47,7 +52,7 @@
         self.config = config
         self.identity = service.identity(config, "control")
         names = [member.name for member in config.members]
-        if not config.join and config.node not in names:
+        if config.members and not config.join and config.node not in names:
             raise errors.SettingsError(
                 [f"node: {config.node} is not in members and join is not set"]
             )
@@ -70,7 +75,10 @@
             snapshot_entries=config.snapshot_entries,
             rng=random.Random(),
         )
-        self.members = control_members.Members(
+        kind = (
+            seeding.SeededMembers if config.seeds else control_members.Members
+        )
+        self.members: control_members.Members = kind(
             config=config,
             identity=storage.identity,
             driver=self.driver,
@@ -99,7 +107,10 @@
         await self.server.start(
             host=self.config.listen.host, port=self.config.listen.port
         )
-        for member in self.config.members:
+        initial = self.config
+        if initial.seeds:
+            initial = seeding.with_members(initial)
+        for member in initial.members:
             self.transport.connect(
                 name=member.name,
                 host=member.address.host,
@@ -233,6 +244,10 @@
 
     async def _propose(self, message: messages.Propose) -> messages.Proposed:
         command = codec.decode_command(message.command)
+        if isinstance(command, commands.ReplaceConfig) and not (
+            self.members.durable_enough()
+        ):
+            raise types.NotLeader(leader="", step="await voters")
         if isinstance(command, _CHECKED):
             # A set of the target size takes over a second to check, which must
             # not delay heartbeats.
--- a/src/monsoonhinge/control/publication.py
+++ b/src/monsoonhinge/control/publication.py
@@ -23,16 +23,20 @@
     """
     match command:
         case commands.PublishConfig():
-            return _set_problems(command)
+            return _set_problems(command.objects or None, command.packed)
+        case commands.ReplaceConfig():
+            return _set_problems(None, command.packed, keys=True)
         case commands.GrantKey():
             return _key_problems(command)
         case _:
             return ""
 
 
-def _set_problems(command: commands.PublishConfig) -> str:
+def _set_problems(
+    documents: list[bytes] | None, packed: bytes, *, keys: bool = False
+) -> str:
     try:
-        documents = command.objects or pack.unpack(command.packed)
+        documents = documents or pack.unpack(packed)
         objects = validate.parse_set([json.loads(item) for item in documents])
     except ValueError as error:
         return str(error)
@@ -42,7 +46,7 @@
         listed = "; ".join(lines[:_MAX_LISTED])
         return f"{listed}; and {more} more" if more > 0 else listed
     for object_id in objects:
-        if object_id.startswith("key/"):
+        if object_id.startswith("key/") and not keys:
             return f"{object_id}: keys are changed by grant and withdraw"
     return ""
 
--- a/src/monsoonhinge/control/state/configuration.py
+++ b/src/monsoonhinge/control/state/configuration.py
@@ -31,12 +31,15 @@
         objects: Canonical JSON objects by ``kind/name``, keys included. The
             dictionary is replaced and never changed in place.
         history: Latest publications by version, oldest first.
+        source: Compressed document that the objects in effect were made from;
+            empty if they were published as objects.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.objects: dict[str, bytes] = {}
         self.history: dict[int, Publication] = {}
+        self.source = b""
 
     def publish(self, command: commands.PublishConfig) -> commands.ConfigResult:
         """Replaces all objects but the keys.
@@ -68,12 +71,33 @@
                 objects[object_id] = data
         return self.advance(objects, command.digest, command.publisher)
 
+    def replace(self, command: commands.ReplaceConfig) -> commands.ConfigResult:
+        """Replaces all objects if the version is the highest so far.
+
+        An overtaken change counts as accepted: a publisher that lost the
+        reply must not be refused when it sends the change again.
+        """
+        if command.version <= self.version:
+            return self.accepted(self.version)
+        try:
+            documents = pack.unpack(command.packed)
+            objects = _by_id(documents, keys=True)
+        except ValueError as error:
+            return self.invalid(str(error))
+        # ``advance`` adds one, so that the given version is in effect.
+        self.version = command.version - 1
+        digest = config_digest.digest(documents)
+        result = self.advance(objects, digest, command.publisher)
+        self.source = command.source
+        return result
+
     def advance(
         self, objects: dict[str, bytes], digest: bytes, publisher: str
     ) -> commands.ConfigResult:
         """Puts the next version in effect."""
         self.version += 1
         self.objects = objects
+        self.source = b""
         self.history[self.version] = Publication(digest, publisher)
         while len(self.history) > HISTORY_VERSIONS:
             del self.history[next(iter(self.history))]
@@ -105,7 +129,7 @@
 
     def to_rows(self) -> Iterator[rows.Row]:
         """Yields the rows of the snapshot."""
-        yield [self.version, len(self.history)], b""
+        yield [self.version, len(self.history)], self.source
         for version, made in self.history.items():
             yield [version, made.publisher], made.digest
         for object_id, data in self.objects.items():
@@ -115,7 +139,7 @@
     def from_rows(cls, table: Iterator[rows.Row]) -> "Configuration":
         """Reads what ``to_rows`` yielded."""
         result = cls()
-        (result.version, count), _ = next(table)
+        (result.version, count), result.source = next(table)
         for _ in range(count):
             (version, publisher), digest = next(table)
             result.history[version] = Publication(digest, publisher)
@@ -152,7 +176,7 @@
         )
 
 
-def _by_id(objects: list[bytes]) -> dict[str, bytes]:
+def _by_id(objects: list[bytes], *, keys: bool = False) -> dict[str, bytes]:
     result: dict[str, bytes] = {}
     for data in objects:
         document = json.loads(data)
@@ -162,7 +186,7 @@
         if not isinstance(kind, str) or not isinstance(name, str):
             raise ValueError("an object has no kind or no name")
         object_id = f"{kind}/{name}"
-        if kind == "key":
+        if kind == "key" and not keys:
             raise ValueError(
                 f"{object_id}: keys are changed by key grant and key withdraw"
             )
--- a/src/monsoonhinge/control/subscription.py
+++ b/src/monsoonhinge/control/subscription.py
@@ -69,6 +69,11 @@
         # Probes answered with a version that is not yet in effect.
         self._confirmed: list[tuple[float, int]] = []
 
+    def add_member(self, name: str) -> None:
+        """Adds a member that may be watched."""
+        if name not in self._order:
+            self._order.append(name)
+
     def staleness(self, now: float) -> float:
         """Returns seconds since everything committed was known here."""
         return float("inf") if self.fresh_at is None else now - self.fresh_at
--- /dev/null
+++ b/src/monsoonhinge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that register with the control members, and their models."""
--- /dev/null
+++ b/src/monsoonhinge/fleet/demand.py
@@ -0,0 +1,118 @@
+"""What the requests of all gateways need, without input or output."""
+
+import dataclasses
+import math
+
+from monsoonhinge.protocol import fleet
+
+# A gateway that sends nothing for this long has no requests any more.
+_EXPIRY_S = 3.0
+
+_RATE_HALF_LIFE_S = 6.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelKey:
+    """A model of a service."""
+
+    service: str
+    model: str
+
+
+@dataclasses.dataclass(slots=True)
+class Need:
+    """What waits for one model over all gateways.
+
+    Attributes:
+        waiting: Requests that wait.
+        timely_until: Until when the most urgent one can be answered in time.
+        priority: Lowest rank number of the waiting requests.
+        adapters: Waiting requests by adapter.
+        rate: Requests per second, smoothed.
+    """
+
+    waiting: int = 0
+    timely_until: float = math.inf
+    priority: int = 9
+    adapters: dict[str, int] = dataclasses.field(default_factory=dict)
+    rate: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Rate:
+    value: float = 0.0
+    at: float = 0.0
+
+    def add(self, count: int, now: float) -> None:
+        self.value = self.current(now) + count * (
+            math.log(2) / _RATE_HALF_LIFE_S
+        )
+        self.at = now
+
+    def current(self, now: float) -> float:
+        elapsed = max(0.0, now - self.at)
+        return self.value * float(0.5 ** (elapsed / _RATE_HALF_LIFE_S))
+
+
+class DemandBook:
+    """Demand of all gateways."""
+
+    def __init__(self) -> None:
+        self._gateways: dict[str, tuple[fleet.FleetDemand, float]] = {}
+        self._arrived: dict[tuple[str, ModelKey, str], int] = {}
+        self._rates: dict[ModelKey, _Rate] = {}
+
+    def update(self, message: fleet.FleetDemand, now: float) -> None:
+        """Takes everything that a gateway needs now."""
+        self._gateways[message.gateway] = (message, now)
+        for need in message.needs:
+            key = ModelKey(need.service, need.model)
+            counter = (message.gateway, key, need.adapter)
+            before = self._arrived.get(counter, 0)
+            # A restarted gateway counts from zero again.
+            new = need.arrived - (before if need.arrived >= before else 0)
+            self._arrived[counter] = need.arrived
+            if new > 0:
+                self._rates.setdefault(key, _Rate()).add(new, now)
+
+    def forget(self, gateway: str) -> None:
+        """Drops the demand of a gateway that has disconnected."""
+        self._gateways.pop(gateway, None)
+
+    def expire(self, now: float) -> None:
+        """Drops the demand of gateways that fell silent."""
+        for gateway, (_, heard_at) in list(self._gateways.items()):
+            if now - heard_at > _EXPIRY_S:
+                del self._gateways[gateway]
+
+    def needs(self, now: float) -> dict[ModelKey, Need]:
+        """Returns the needs of all models that are or were asked for."""
+        result = {
+            key: Need(rate=rate.current(now))
+            for key, rate in self._rates.items()
+        }
+        for message, heard_at in self._gateways.values():
+            for item in message.needs:
+                if not item.waiting:
+                    continue
+                key = ModelKey(item.service, item.model)
+                need = result.setdefault(key, Need())
+                need.waiting += item.waiting
+                need.priority = min(need.priority, item.priority)
+                need.timely_until = min(
+                    need.timely_until, heard_at + item.timely_for_ms / 1000
+                )
+                if item.adapter:
+                    need.adapters[item.adapter] = (
+                        need.adapters.get(item.adapter, 0) + item.waiting
+                    )
+        return result
+
+    def running(self) -> dict[str, dict[str, int]]:
+        """Returns the running requests by target and model."""
+        result: dict[str, dict[str, int]] = {}
+        for message, _ in self._gateways.values():
+            for use in message.uses:
+                models = result.setdefault(use.target, {})
+                models[use.model] = models.get(use.model, 0) + use.running
+        return result
--- /dev/null
+++ b/src/monsoonhinge/fleet/orders.py
@@ -0,0 +1,159 @@
+"""Orders to one engine, one after the other."""
+
+import asyncio
+from collections.abc import Callable
+
+from monsoonhinge.fleet import dialect
+from monsoonhinge.fleet import engine as engines
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
+
+_ORDER_TIMEOUT_S = 0.5
+_REPORT_TIMEOUT_S = 1.0
+
+# An engine finishes a quick order within this time.
+_BUSY_PAUSE_S = 0.03
+# Reports lag this much behind the engine.
+_REPORT_LAG_S = 0.25
+_MAX_TRIES = 12
+
+
+class Deposed(errors.MonsoonhingeError):
+    """This member may not give orders any more."""
+
+
+class Channel:
+    """Gives orders to one incarnation of an engine.
+
+    Every order names how many orders the engine has accepted, so that an
+    order that is carried out late changes nothing once a newer one is in.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: engines.Engine,
+        client: dialect.Engines,
+        holder: str,
+        fencing: int,
+        may_order: Callable[[], bool],
+    ) -> None:
+        self.engine = engine
+        self._client = client
+        self._holder = holder
+        self._fencing = fencing
+        self._may_order = may_order
+        self._lock = asyncio.Lock()
+
+    async def refresh(self) -> None:
+        """Asks the engine for its state.
+
+        Raises:
+            dialect.Unanswered: No report came.
+        """
+        report = await self._report()
+        accepted = self.engine.accepted
+        self.engine.reported(report, asyncio.get_running_loop().time())
+        if accepted is not None:
+            self.engine.accepted = max(accepted, report.accepted)
+
+    async def give(self, *, load: bool, model: str, adapter: str = "") -> bool:
+        """Gives an order until its outcome is known.
+
+        Returns:
+            Whether it is carried out or already holds.
+
+        Raises:
+            Deposed: Another member gives orders now.
+        """
+        async with self._lock:
+            for number in range(_MAX_TRIES):
+                if not self._may_order():
+                    raise Deposed("the lease is not held", step="order")
+                verdict = await self._try(load, model, adapter, number)
+                if verdict is not None:
+                    return verdict
+        return False
+
+    async def _try(
+        self, load: bool, model: str, adapter: str, number: int
+    ) -> bool | None:
+        engine = self.engine
+        expected = engine.accepted or 0
+        try:
+            verdict = await self._client.order(
+                address=engine.registration.address,
+                target=engine.target,
+                order=dialect.Order(
+                    load=load,
+                    model=model,
+                    adapter=adapter,
+                    holder=self._holder,
+                    fencing=self._fencing,
+                    expected=expected,
+                ),
+                timeout_s=_ORDER_TIMEOUT_S,
+            )
+        except dialect.Unanswered as error:
+            events.emit(
+                events.ORDER,
+                target=engine.target,
+                load=load,
+                model=model,
+                adapter=adapter,
+                fencing=self._fencing,
+                expected=expected,
+                outcome="unanswered",
+                error=str(error),
+            )
+            await asyncio.sleep(_BUSY_PAUSE_S)
+            return None
+        events.emit(
+            events.ORDER,
+            target=engine.target,
+            load=load,
+            model=model,
+            adapter=adapter,
+            fencing=self._fencing,
+            expected=expected,
+            outcome=verdict.value,
+        )
+        match verdict:
+            case dialect.Verdict.STARTED:
+                engine.accepted = expected + 1
+                return True
+            case dialect.Verdict.HOLDS:
+                return True
+            case dialect.Verdict.FENCED:
+                raise Deposed("a higher fencing number was used", step="order")
+            case dialect.Verdict.CONFLICT:
+                return await self._resolve(load, model, adapter, number)
+            case _:
+                return False
+
+    async def _resolve(
+        self, load: bool, model: str, adapter: str, number: int
+    ) -> bool | None:
+        """Finds out why an order was refused; None to try again."""
+        if number < 2:
+            await asyncio.sleep(_BUSY_PAUSE_S * (number + 1))
+            return None
+        await asyncio.sleep(_REPORT_LAG_S)
+        try:
+            report = await self._report()
+        except dialect.Unanswered:
+            return None
+        engine = self.engine
+        engine.accepted = max(engine.accepted or 0, report.accepted)
+        present = model in report.models
+        if adapter:
+            present = adapter in report.models.get(model, [])
+        # An earlier try of the same order was carried out unanswered.
+        return True if present == load and not report.busy else None
+
+    async def _report(self) -> dialect.Report:
+        return await self._client.report(
+            address=self.engine.registration.address,
+            target=self.engine.target,
+            timeout_s=_REPORT_TIMEOUT_S,
+        )
--- /dev/null
+++ b/src/monsoonhinge/fleet/registry.py
@@ -0,0 +1,183 @@
+"""Targets as they announce themselves, without any input or output.
+
+Announcements may be late, repeated or from an earlier start of a target. The
+newest start at an address and the newest announcement of a start win.
+"""
+
+import dataclasses
+
+from monsoonhinge.protocol import fleet
+
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"
+SILENT = "silent"
+
+# A target that announces itself this long after it deregistered stays: the
+# deregistration came late, from an earlier start under the same id.
+_REVIVE_AFTER_S = 6.0
+
+# Departed targets are remembered while late announcements may still arrive.
+_FORGET_AFTER_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A registration and when this member learned of it.
+
+    Attributes:
+        registration: What the target last said.
+        heard_at: When the target itself was last heard here; None if another
+            member has heard it since.
+        changed_at: When the registration last changed.
+    """
+
+    registration: fleet.Registration
+    heard_at: float | None
+    changed_at: float
+
+
+class Registry:
+    """Registrations by target id.
+
+    Attributes:
+        entries: All known targets, departed ones included.
+        silent_after_s: Time without an announcement after which a target
+            counts as silent.
+    """
+
+    def __init__(self, *, silent_after_s: float) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.silent_after_s = silent_after_s
+
+    def announce(
+        self, registration: fleet.Registration, now: float
+    ) -> list[fleet.Registration]:
+        """Takes what a target sent to this member.
+
+        Returns:
+            Registrations that changed and have to be published.
+        """
+        entry = self.entries.get(registration.target)
+        heard_elsewhere = entry is None or entry.heard_at is None
+        changed = self._take(registration, now)
+        if changed is None:
+            return []
+        self.entries[registration.target].heard_at = now
+        # The member that heard the target before stops waiting for it.
+        if heard_elsewhere and not changed:
+            changed = [registration]
+        return changed
+
+    def merge(
+        self, registration: fleet.Registration, now: float
+    ) -> list[fleet.Registration]:
+        """Takes what another member published; returns what changed."""
+        entry = self.entries.get(registration.target)
+        if (
+            entry is not None
+            and registration.state == SILENT
+            and _position(registration) < _position(entry.registration)
+        ):
+            return []
+        changed = self._take(registration, now)
+        if changed is None:
+            return []
+        self.entries[registration.target].heard_at = None
+        return changed
+
+    def depart(self, target: str, now: float) -> list[fleet.Registration]:
+        """Takes a deregistration; returns what changed."""
+        entry = self.entries.get(target)
+        if entry is None or entry.registration.state == GONE:
+            return []
+        return [self._set_state(entry, GONE, now)]
+
+    def expire(self, now: float) -> list[fleet.Registration]:
+        """Marks targets as silent that have not announced themselves."""
+        changed = []
+        for target, entry in list(self.entries.items()):
+            state = entry.registration.state
+            if state in (GONE, SILENT):
+                if now - entry.changed_at > _FORGET_AFTER_S:
+                    del self.entries[target]
+            elif (
+                entry.heard_at is not None
+                and now - entry.heard_at > self.silent_after_s
+            ):
+                changed.append(self._set_state(entry, SILENT, now))
+        return changed
+
+    def serving(self) -> list[fleet.Registration]:
+        """Returns the targets that take new work."""
+        return [
+            entry.registration
+            for entry in self.entries.values()
+            if entry.registration.state == READY
+        ]
+
+    def _take(
+        self, registration: fleet.Registration, now: float
+    ) -> list[fleet.Registration] | None:
+        """Returns what changed, or None if the announcement is outdated."""
+        entry = self.entries.get(registration.target)
+        if entry is not None and self._is_outdated(registration, entry, now):
+            return None
+        changed = []
+        for other in list(self.entries.values()):
+            known = other.registration
+            if (
+                known.address != registration.address
+                or known.target == registration.target
+                or known.state == GONE
+            ):
+                continue
+            if known.incarnation > registration.incarnation:
+                return None
+            changed.append(self._set_state(other, GONE, now))
+        if entry is None or _content(entry.registration) != _content(
+            registration
+        ):
+            changed.append(registration)
+        heard_at = None if entry is None else entry.heard_at
+        changed_at = now if changed or entry is None else entry.changed_at
+        self.entries[registration.target] = Entry(
+            registration, heard_at, changed_at
+        )
+        return changed
+
+    def _is_outdated(
+        self, registration: fleet.Registration, entry: Entry, now: float
+    ) -> bool:
+        known = entry.registration
+        if registration.incarnation != known.incarnation:
+            return registration.incarnation < known.incarnation
+        if known.state == GONE and registration.state != GONE:
+            return now - entry.changed_at < _REVIVE_AFTER_S
+        if registration.state in (GONE, SILENT):
+            return registration.sequence < known.sequence
+        return registration.sequence <= known.sequence
+
+    def _set_state(
+        self, entry: Entry, state: str, now: float
+    ) -> fleet.Registration:
+        entry.registration = dataclasses.replace(
+            entry.registration, state=state
+        )
+        entry.changed_at = now
+        return entry.registration
+
+
+def _position(registration: fleet.Registration) -> tuple[int, int]:
+    return registration.incarnation, registration.sequence
+
+
+def _content(registration: fleet.Registration) -> fleet.Registration:
+    """Returns what subscribers need to be told about when it changes."""
+    return dataclasses.replace(
+        registration,
+        sequence=0,
+        slow_for_ms=int(registration.slow_for_ms > 0),
+        remaining_ms=int(registration.remaining_ms > 0),
+        held_age_ms=0,
+    )
--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -1,7 +1,7 @@
 """HTTP from the gateway to targets."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping
 import dataclasses
 
 import aiohttp
@@ -12,6 +12,7 @@
 
 _CHUNK_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 1.0
+_KEEPALIVE_S = 15.0
 
 # RFC 9110 section 7.6.1 and the fields that this system sets itself or that
 # carry secrets of the caller.
@@ -107,6 +108,66 @@
             self.transport.abort()
 
 
+def open_session(*, keepalive_s: float) -> aiohttp.ClientSession:
+    """Makes a session for requests to targets; needs a running loop.
+
+    Args:
+        keepalive_s: How long an idle connection is kept for reuse.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_s),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        response_class=_Response,
+        auto_decompress=False,
+    )
+
+
+async def open_response(
+    session: aiohttp.ClientSession,
+    *,
+    method: str,
+    address: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes | None,
+    timeout_s: float,
+    step: str,
+    skip_auto_headers: Iterable[str] = (),
+) -> aiohttp.ClientResponse:
+    """Sends a request and returns once the head of the answer is here.
+
+    Raises:
+        NotSent: The target could not be reached.
+        AnswerLost: The connection broke after bytes may have left.
+    """
+    try:
+        return await session.request(
+            method,
+            yarl.URL(f"http://{address}{path}", encoded=True),
+            data=body,
+            headers=headers,
+            allow_redirects=False,
+            skip_auto_headers=skip_auto_headers,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s, connect=_CONNECT_TIMEOUT_S
+            ),
+        )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise NotSent(
+            f"cannot connect: {error}", step=step, peer=address
+        ) from error
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise AnswerLost(
+            f"no answer: {type(error).__name__}",
+            step=step,
+            peer=address,
+            timed_out=isinstance(error, TimeoutError),
+        ) from error
+
+
 class Forwarder:
     """Sends requests to targets and reads their answers."""
 
@@ -116,14 +177,7 @@
     @classmethod
     def create(cls) -> "Forwarder":
         """Makes a forwarder with its own connections; needs a running loop."""
-        return cls(
-            session=aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                response_class=_Response,
-                auto_decompress=False,
-            )
-        )
+        return cls(session=open_session(keepalive_s=_KEEPALIVE_S))
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -143,42 +197,25 @@
         headers["X-Request-Id"] = request.request_id
         headers["X-Priority"] = str(request.priority)
         step = "forward"
-        try:
-            response = await self.session.request(
-                request.method,
-                yarl.URL(
-                    f"http://{request.address}{request.path}", encoded=True
-                ),
-                data=request.body,
-                headers=headers,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(
-                    total=request.timeout_s, connect=_CONNECT_TIMEOUT_S
-                ),
-            )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            raise NotSent(
-                f"cannot connect: {error}", step=step, peer=request.address
-            ) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise AnswerLost(
-                f"no answer: {type(error).__name__}",
-                step=step,
-                peer=request.address,
-                timed_out=isinstance(error, TimeoutError),
-            ) from error
+        response = await open_response(
+            self.session,
+            method=request.method,
+            address=request.address,
+            path=request.path,
+            headers=headers,
+            body=request.body,
+            timeout_s=request.timeout_s,
+            step=step,
+        )
         if response.headers.get("X-Request-Id") != request.request_id:
-            _drop(response)
+            drop(response)
             raise AnswerLost(
                 "the target answered another request",
                 step=step,
                 peer=request.address,
             )
-        if not _has_end(request.method, response):
-            _drop(response)
+        if not has_end(request.method, response):
+            drop(response)
             raise AnswerLost(
                 "the answer has neither a length nor chunks",
                 step=step,
@@ -224,12 +261,14 @@
         self._response.close()
 
 
-def _drop(response: aiohttp.ClientResponse) -> None:
+def drop(response: aiohttp.ClientResponse) -> None:
+    """Closes the connection of a response that cannot be trusted."""
     assert isinstance(response, _Response)
     response.drop()
 
 
-def _has_end(method: str, response: aiohttp.ClientResponse) -> bool:
+def has_end(method: str, response: aiohttp.ClientResponse) -> bool:
+    """Returns whether the end of an answer can be told from a cut."""
     # An answer that ends with its connection cannot be told from a truncated
     # one.
     return (
--- /dev/null
+++ b/src/monsoonhinge/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are recognised by host and path."""
--- /dev/null
+++ b/src/monsoonhinge/ingress/admission.py
@@ -0,0 +1,134 @@
+"""Who may use which route, without input or output."""
+
+import dataclasses
+import random
+
+from monsoonhinge.config import ingress as objects
+from monsoonhinge.config import schema
+from monsoonhinge.config import view as config_view
+from monsoonhinge.ingress import dialect
+from monsoonhinge.ingress import refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may run.
+
+    Attributes:
+        route: Route that it uses.
+        service: Service that runs it.
+        team: Team as which it runs, or None on a public route.
+        key_hash: Hash of the caller's key, or "".
+        priority: Rank, 0 first.
+        tokens: Tokens that it is charged.
+        version: Version of the configuration that decided.
+    """
+
+    route: objects.IngressRoute
+    service: objects.IngressService
+    team: schema.Team | None
+    key_hash: str
+    priority: int
+    tokens: int
+    version: int
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.execution == "idempotent" or (
+            self.route.execution == "streaming" and self.route.resumable
+        )
+
+
+class Admission:
+    """Checks route, key and freshness of the configuration.
+
+    Attributes:
+        key_secret: Secret under which caller keys are hashed.
+        max_staleness_s: Oldest configuration that keys may rely on.
+        rng: Source of the choice between the services of a route.
+    """
+
+    def __init__(
+        self, *, key_secret: bytes, max_staleness_s: float, rng: random.Random
+    ) -> None:
+        self.key_secret = key_secret
+        self.max_staleness_s = max_staleness_s
+        self.rng = rng
+
+    def admit(
+        self, call: dialect.Call, *, view: config_view.View, staleness: float
+    ) -> Admitted:
+        """Decides whether a request may run now.
+
+        Raises:
+            refusal.Refusal: It may not.
+        """
+        if not view.version:
+            raise refusal.Refusal(
+                refusal.Reason.NO_CONFIGURATION, retry_after_s=0.5, step="admit"
+            )
+        route = view.ingress_route(host=call.host, path=call.path)
+        if route is None:
+            raise refusal.Refusal(refusal.Reason.UNKNOWN_ROUTE, step="admit")
+        team, key_hash = None, ""
+        if view.ingress_limits.keys_required and not route.public:
+            team, key_hash = self._team(call, view, staleness)
+        priority = route.priority
+        if team is not None and team.priority is not None:
+            priority = team.priority
+        return Admitted(
+            route=route,
+            service=self._service(route, view),
+            team=team,
+            key_hash=key_hash,
+            priority=priority,
+            tokens=_tokens(call, team),
+            version=view.version,
+        )
+
+    def still_valid(
+        self, admitted: Admitted, *, view: config_view.View, staleness: float
+    ) -> bool:
+        """Returns whether a request that waited may still run."""
+        if not admitted.key_hash:
+            return True
+        return (
+            admitted.key_hash in view.keys_by_hash
+            and staleness <= self.max_staleness_s
+        )
+
+    def _team(
+        self, call: dialect.Call, view: config_view.View, staleness: float
+    ) -> tuple[schema.Team, str]:
+        if staleness > self.max_staleness_s:
+            raise refusal.Refusal(
+                refusal.Reason.STALE_CONFIGURATION,
+                retry_after_s=0.5,
+                step="admit",
+            )
+        key_hash = config_view.key_hash(
+            secret=self.key_secret, key=call.key or ""
+        )
+        key = view.keys_by_hash.get(key_hash)
+        if call.key is None or key is None:
+            raise refusal.Refusal(refusal.Reason.INVALID_KEY, step="admit")
+        return view.teams[key.team], key_hash
+
+    def _service(
+        self, route: objects.IngressRoute, view: config_view.View
+    ) -> objects.IngressService:
+        backends = route.backends
+        name = backends[0].service
+        if len(backends) > 1:
+            weights = [backend.weight for backend in backends]
+            name = self.rng.choices(backends, weights)[0].service
+        return view.ingress_services[name]
+
+
+def _tokens(call: dialect.Call, team: schema.Team | None) -> int:
+    if team is None or team.unlimited:
+        return 0
+    if team.charged_by == "requests":
+        return 1
+    return team.call_tokens if call.tokens is None else sum(call.tokens)
--- /dev/null
+++ b/src/monsoonhinge/ingress/balance.py
@@ -0,0 +1,106 @@
+"""Choice of the target for a request, without input or output."""
+
+from collections.abc import Collection
+import dataclasses
+import hashlib
+
+from monsoonhinge.gateway import retry
+from monsoonhinge.ingress import targets as target_table
+
+# Costs in requests that run at a target.
+_OTHER_ZONE_COST = 0.6
+_SILENT_COST = 1_000.0
+_SESSION_COST = 3.0
+
+# A target that takes longer than the fastest by this factor gets less work.
+_SLOW_FACTOR = 2.0
+_SLOW_COST = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a request needs of a target.
+
+    Attributes:
+        service: Service.
+        model: Model that must be loaded, or "".
+        adapter: Adapter that must be loaded, or "".
+        session: Last prompt part; requests of a session prefer one target.
+    """
+
+    service: str
+    model: str = ""
+    adapter: str = ""
+    session: str = ""
+
+
+class Balancer:
+    """Chooses targets by load, distance and earlier failures.
+
+    Attributes:
+        targets: Known targets.
+        ejections: Targets that failed lately.
+        availability_zone: Zone of this gateway.
+    """
+
+    def __init__(
+        self, *, targets: target_table.Targets, availability_zone: str
+    ) -> None:
+        self.targets = targets
+        self.ejections = retry.Ejections()
+        self.availability_zone = availability_zone
+
+    def choose(
+        self, need: Need, *, avoid: Collection[str], now: float
+    ) -> target_table.Target | None:
+        """Returns the best target, or None if none can serve the request."""
+        able = self.able(need, now)
+        fresh = [target for target in able if target.name not in avoid]
+        candidates = fresh or able
+        if not candidates:
+            return None
+        excluded = self.ejections.excluded([t.name for t in candidates], now)
+        candidates = [
+            t for t in candidates if t.name not in excluded
+        ] or candidates
+        fastest = min(
+            (t.answer_s for t in candidates if t.answer_s), default=0.0
+        )
+        return min(
+            candidates, key=lambda target: self._cost(target, need, fastest)
+        )
+
+    def able(self, need: Need, now: float) -> list[target_table.Target]:
+        """Returns the targets that hold what a request needs."""
+        found = self.targets.of_service(need.service)
+        if not need.model:
+            return found
+        return [
+            target
+            for target in found
+            if target.holds(need.model, need.adapter, now)
+        ]
+
+    def _cost(
+        self, target: target_table.Target, need: Need, fastest: float
+    ) -> tuple[float, str]:
+        cost = float(target.total())
+        if need.model:
+            cost = max(cost, float(target.running_elsewhere))
+        if target.registration.availability_zone != self.availability_zone:
+            cost += _OTHER_ZONE_COST
+        if target.registration.state == target_table.SILENT:
+            cost += _SILENT_COST
+        if fastest and target.answer_s > _SLOW_FACTOR * fastest:
+            cost += _SLOW_COST
+        if need.session:
+            cost += _SESSION_COST * _spread(need.session, target.name)
+        return cost, target.name
+
+
+def _spread(session: str, target: str) -> float:
+    """Returns a number in [0, 1) that is the same at every gateway."""
+    digest = hashlib.blake2b(
+        f"{session}/{target}".encode(), digest_size=4
+    ).digest()
+    return int.from_bytes(digest, "big") / 2**32
--- /dev/null
+++ b/src/monsoonhinge/ingress/metrics.py
@@ -0,0 +1,30 @@
+"""Metrics of the ingress."""
+
+import prometheus_client
+
+REQUESTS = prometheus_client.Counter(
+    "monsoonhinge_ingress_requests_total",
+    "Requests by kind of execution and status",
+    ["execution", "status"],
+)
+REFUSALS = prometheus_client.Counter(
+    "monsoonhinge_ingress_refusals_total",
+    "Requests that the ingress answered itself, by reason",
+    ["reason"],
+)
+FIRST_BYTE_SECONDS = prometheus_client.Histogram(
+    "monsoonhinge_ingress_first_byte_seconds",
+    "Time until the first byte of the answer",
+    ["execution"],
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
+)
+RUNNING = prometheus_client.Gauge(
+    "monsoonhinge_ingress_requests_open", "Requests without a final answer"
+)
+WAITING = prometheus_client.Gauge(
+    "monsoonhinge_ingress_requests_waiting", "Requests that wait for a target"
+)
+STALENESS_SECONDS = prometheus_client.Gauge(
+    "monsoonhinge_ingress_staleness_seconds",
+    "Age of the confirmed configuration",
+)
--- /dev/null
+++ b/src/monsoonhinge/ingress/quota.py
@@ -0,0 +1,197 @@
+"""Token rates of the teams, kept over all gateways together.
+
+Tokens come in grants from the holder of the budget. While no holder answers,
+a gateway spends a share of each team's rate that stays within the rate even
+if all gateways do the same.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import dataclasses
+
+from monsoonhinge.config import schema
+from monsoonhinge.gateway import wallet
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+
+# A request waits this long for tokens before it is refused.
+_MAX_WAIT_S = 0.4
+_PAUSE_S = 0.1
+_MIN_PAUSE_S = 0.02
+
+# Without an answer for this long, the own share is spent.
+_HOLDER_ABSENT_S = 0.25
+_SHARE = 0.6
+_SHARE_BURST_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Share:
+    """Own part of a team's rate while no holder answers."""
+
+    level: float = 0.0
+    at: float = 0.0
+
+    def take(self, tokens: int, *, rate: float, now: float) -> bool:
+        """Takes tokens; a large request may run into debt once."""
+        burst = rate * _SHARE_BURST_S
+        self.level = min(burst, self.level + (now - self.at) * rate)
+        self.at = now
+        if self.level < min(tokens, burst):
+            return False
+        self.level -= tokens
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    tokens: int
+    future: asyncio.Future[wallet.Charge | None]
+
+
+class Quota:
+    """Charges requests to their teams.
+
+    Attributes:
+        wallet: Grants held.
+        gateways: Gateways that share a rate while no holder answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        gateway: str,
+        send: Callable[[messages.GrantRequest], Awaitable[messages.Grant]],
+    ) -> None:
+        self.wallet = wallet.Wallet()
+        self.gateways = 1
+        self._gateway = gateway
+        self._send = send
+        self._waiting: dict[str, list[_Waiter]] = {}
+        self._shares: dict[str, Share] = {}
+        self._unanswered_since: float | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def charge(
+        self, team: schema.Team, tokens: int, *, time_left_s: float
+    ) -> wallet.Charge | None:
+        """Takes tokens for a request; None if the team has none left."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        waiting = self._waiting.setdefault(team.name, [])
+        if not waiting:
+            charge = self.wallet.charge(team.name, tokens, now)
+            if charge is not None:
+                self._ask(team.name)
+                return charge
+        if self._spend_share(team, tokens, now):
+            self._ask(team.name)
+            return wallet.Charge(team=team.name, tokens=tokens, parts={})
+        waiter = _Waiter(tokens, loop.create_future())
+        waiting.append(waiter)
+        self._ask(team.name)
+        wait_s = min(_MAX_WAIT_S, time_left_s / 4)
+        deadline = now + wait_s
+        try:
+            while (left := deadline - loop.time()) > 0:
+                pause = min(left, _HOLDER_ABSENT_S)
+                done, _ = await asyncio.wait([waiter.future], timeout=pause)
+                if done:
+                    return waiter.future.result()
+                if self._spend_share(team, tokens, loop.time()):
+                    return wallet.Charge(
+                        team=team.name, tokens=tokens, parts={}
+                    )
+            return None
+        finally:
+            if waiter in waiting:
+                waiting.remove(waiter)
+
+    def refund(self, charge: wallet.Charge) -> None:
+        """Gives back the tokens of a request that did not run."""
+        now = asyncio.get_running_loop().time()
+        self.wallet.settle(charge, 0, now)
+
+    def retry_after_s(self, team: str) -> float:
+        """Returns when the team is likely to have tokens again."""
+        now = asyncio.get_running_loop().time()
+        return self.wallet.account(team).retry_after_s(now)
+
+    def tick(self) -> None:
+        """Asks for what is needed and returns what is not; called often."""
+        for team in list(self.wallet.accounts):
+            self._ask(team)
+        self.wallet.forget_idle(asyncio.get_running_loop().time())
+
+    async def stop(self) -> None:
+        """Ends all requests."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spend_share(self, team: schema.Team, tokens: int, now: float) -> bool:
+        since = self._unanswered_since
+        if since is None or now - since < _HOLDER_ABSENT_S:
+            return False
+        share = self._shares.setdefault(
+            team.name, Share(level=float(team.tokens_per_s), at=now)
+        )
+        rate = _SHARE * team.tokens_per_s / max(1, self.gateways)
+        return share.take(tokens, rate=rate, now=now)
+
+    def _ask(self, team: str) -> None:
+        now = asyncio.get_running_loop().time()
+        waiting = self._waiting.get(team, [])
+        needed = sum(waiter.tokens for waiter in waiting)
+        first = waiting[0].tokens if waiting else 0
+        ask = self.wallet.account(team).ask(needed, now, first=first)
+        if ask is None:
+            return
+        task = asyncio.get_running_loop().create_task(self._request(team, ask))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, team: str, ask: wallet.Ask) -> None:
+        loop = asyncio.get_running_loop()
+        account = self.wallet.account(team)
+        asked_at = loop.time()
+        try:
+            grant = await self._send(
+                messages.GrantRequest(
+                    gateway=self._gateway,
+                    team=team,
+                    wanted=ask.wanted,
+                    waiting=ask.waiting,
+                    returned=ask.returned,
+                    returned_grant=ask.returned_grant,
+                )
+            )
+        except errors.MonsoonhingeError:
+            account.unanswered(loop.time(), _PAUSE_S)
+            if self._unanswered_since is None:
+                self._unanswered_since = asked_at
+            return
+        self._unanswered_since = None
+        short = grant.tokens < ask.wanted + ask.waiting
+        account.replied(
+            max(grant.retry_after_ms / 1000, _MIN_PAUSE_S) if short else 0.0,
+            loop.time(),
+        )
+        account.add(
+            grant.grant_id, grant.tokens, asked_at + grant.valid_ms / 1000
+        )
+        self._fund(team, loop.time())
+        if self._waiting.get(team):
+            loop.call_at(account.retry_at, self._ask, team)
+
+    def _fund(self, team: str, now: float) -> None:
+        waiting = self._waiting.get(team, [])
+        while waiting:
+            charge = self.wallet.charge(team, waiting[0].tokens, now)
+            if charge is None:
+                return
+            future = waiting.pop(0).future
+            if future.done():
+                self.wallet.settle(charge, 0, now)
+            else:
+                future.set_result(charge)
--- /dev/null
+++ b/src/monsoonhinge/ingress/targets.py
@@ -0,0 +1,168 @@
+"""Targets as the control members and this gateway see them."""
+
+import dataclasses
+
+from monsoonhinge.protocol import fleet
+
+READY = "ready"
+SILENT = "silent"
+LOADED = "loaded"
+
+# A target that denied holding a model is not asked for it for this long.
+DENIED_S = 0.08
+
+# Placements of a member that is not heard any more are used for this long.
+_PLACEMENTS_S = 6.0
+
+# Weight of the latest answer in the smoothed time of a target.
+_SMOOTHING = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """One incarnation of a target.
+
+    Attributes:
+        registration: What it last announced.
+        models: Adapters by model that serves, as the placing member says.
+        ready_at: When loading models are expected to serve.
+        running_elsewhere: Requests of all gateways that run there, as last
+            published.
+        running: Requests of this gateway by model.
+        answer_s: Smoothed time until its answers begin.
+        denied: Until when models are taken as absent.
+    """
+
+    registration: fleet.Registration
+    models: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    running_elsewhere: int = 0
+    running: dict[str, int] = dataclasses.field(default_factory=dict)
+    answer_s: float = 0.0
+    denied: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def name(self) -> str:
+        """Id of the target."""
+        return self.registration.target
+
+    def total(self) -> int:
+        """Returns the requests of this gateway that run there."""
+        return sum(self.running.values())
+
+    def answered(self, seconds: float) -> None:
+        """Takes the time until an answer began."""
+        if self.answer_s:
+            seconds = self.answer_s + _SMOOTHING * (seconds - self.answer_s)
+        self.answer_s = seconds
+
+    def deny(self, model: str, adapter: str, now: float) -> None:
+        """Notes that the target does not hold a model or adapter yet."""
+        self.denied[model, adapter] = now + DENIED_S
+
+    def holds(self, model: str, adapter: str, now: float) -> bool:
+        """Returns whether the target serves a model and adapter now."""
+        held = self.models.get(model)
+        if held is None or (adapter and adapter not in held):
+            return False
+        return now >= self.denied.get((model, adapter), 0.0)
+
+
+class Targets:
+    """All targets by id.
+
+    Attributes:
+        by_name: Targets that were announced and have not departed.
+        fencing: Fencing number of the latest placements.
+    """
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, Target] = {}
+        self.fencing = 0
+        self._positions: dict[str, tuple[int, int]] = {}
+        self._placements: dict[str, fleet.Placement] = {}
+
+    def register(self, registration: fleet.Registration) -> bool:
+        """Takes a registration; returns whether it was news."""
+        name = registration.target
+        position = (registration.incarnation, registration.sequence)
+        known = self._positions.get(name)
+        if known is not None and position < known:
+            return False
+        target = self.by_name.get(name)
+        if registration.state in ("gone",):
+            self._positions[name] = position
+            self.by_name.pop(name, None)
+            return True
+        self._positions[name] = position
+        if (
+            target is not None
+            and target.registration.incarnation == registration.incarnation
+        ):
+            target.registration = registration
+        else:
+            self._drop_predecessors(registration)
+            target = self.by_name[name] = Target(registration)
+        placement = self._placements.get(name)
+        if (
+            placement is None
+            or placement.incarnation != registration.incarnation
+        ):
+            target.models = {
+                model.name: set(model.adapters) for model in registration.models
+            }
+        else:
+            self._place(target, placement, None)
+        return True
+
+    def place(self, message: fleet.Placements, now: float) -> bool:
+        """Takes placements; returns whether they are of the latest member."""
+        if message.fencing < self.fencing:
+            return False
+        if message.fencing > self.fencing:
+            self.fencing = message.fencing
+            self._placements.clear()
+        for placement in message.placements:
+            self._placements[placement.target] = placement
+            target = self.by_name.get(placement.target)
+            if (
+                target is not None
+                and target.registration.incarnation == placement.incarnation
+            ):
+                self._place(target, placement, now)
+        return True
+
+    def of_service(self, service: str) -> list[Target]:
+        """Returns the targets of a service that take new work."""
+        return [
+            target
+            for target in self.by_name.values()
+            if target.registration.service == service
+            and target.registration.state in (READY, SILENT)
+        ]
+
+    def _place(
+        self, target: Target, placement: fleet.Placement, now: float | None
+    ) -> None:
+        target.running_elsewhere = placement.running
+        target.models = {
+            model.name: set(model.adapters)
+            for model in placement.models
+            if model.state == LOADED
+        }
+        if now is not None:
+            target.ready_at = {
+                model.name: now + model.ready_in_ms / 1000
+                for model in placement.models
+                if model.state == "loading"
+            }
+
+    def _drop_predecessors(self, registration: fleet.Registration) -> None:
+        for name, other in list(self.by_name.items()):
+            if (
+                other.registration.address == registration.address
+                and other.registration.incarnation < registration.incarnation
+            ):
+                del self.by_name[name]
--- /dev/null
+++ b/src/monsoonhinge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the product and the platform on which it runs."""
--- /dev/null
+++ b/src/monsoonhinge/platform/__main__.py
@@ -0,0 +1,94 @@
+"""Programs of the deploy file: ``python -m monsoonhinge.platform ROLE``."""
+
+import logging
+import os
+import pathlib
+import sys
+from typing import Any
+
+from aiohttp import web
+
+from monsoonhinge.fleet import process as fleet_process
+from monsoonhinge.ingress import process as ingress_process
+from monsoonhinge.platform import control
+from monsoonhinge.platform import engines
+from monsoonhinge.platform import requests
+from monsoonhinge.platform import wire
+from monsoonhinge.runtime import service
+from monsoonhinge.runtime import settings
+
+_SHUTDOWN_TIMEOUT_S = 0.5
+
+
+class PlatformControl(fleet_process.FleetProcess):
+    """A control member that servers and operators of the platform call."""
+
+    def __init__(self, config: settings.Control) -> None:
+        super().__init__(config, engines=engines.PlatformEngines())
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Starts listening and takes part in the cluster."""
+        await super().start()
+        address = self.config.registrations
+        assert address is not None
+        calls = control.ControlCalls(
+            members=self,
+            address=str(address),
+            key_secret=self.config.key_secret.encode(),
+        )
+        # The HTTP server logs excerpts of malformed requests, which may hold
+        # keys; its logger is switched off.
+        silent = logging.getLogger("monsoonhinge.platform.http")
+        silent.disabled = True
+        self._runner = web.AppRunner(
+            calls.application(),
+            access_log=None,
+            logger=silent,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, address.host, address.port).start()
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await super().stop()
+
+
+def _ingress(config: settings.Ingress) -> ingress_process.IngressProcess:
+    return ingress_process.IngressProcess(
+        config, wire=requests.PlatformDialect()
+    )
+
+
+_ROLES: dict[str, tuple[type[settings.Process], Any]] = {
+    "control": (settings.Control, PlatformControl),
+    "ingress": (settings.Ingress, _ingress),
+}
+
+
+def main() -> None:
+    """Runs the program of a role until it is stopped."""
+    role = sys.argv[1] if len(sys.argv) == 2 else ""
+    path = os.environ.get(wire.SETTINGS_VARIABLE, "")
+    if role not in _ROLES or not path:
+        print(
+            f"usage: {wire.SETTINGS_VARIABLE}=FILE python -m "
+            f"monsoonhinge.platform {'|'.join(_ROLES)}",
+            file=sys.stderr,
+        )
+        sys.exit(service.EXIT_BAD_SETTINGS)
+    model, factory = _ROLES[role]
+    service.run(
+        role=role,
+        options=service.Options(settings=pathlib.Path(path)),
+        model=model,
+        factory=factory,
+        decision_log=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/monsoonhinge/platform/control.py
@@ -0,0 +1,115 @@
+"""Calls of servers and operators to the control members."""
+
+import typing
+
+from aiohttp import web
+
+from monsoonhinge.platform import documents
+from monsoonhinge.platform import registrations
+from monsoonhinge.platform import wire
+from monsoonhinge.protocol import commands
+from monsoonhinge.protocol import fleet
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
+
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_TARGET_CHARS = 128
+
+
+class Fleet(typing.Protocol):
+    """What the calls are translated to."""
+
+    def register(self, registration: fleet.Registration) -> bool:
+        """Takes an announcement; returns whether it is acknowledged."""
+
+    def deregister(self, target: str) -> bool:
+        """Takes a deregistration; returns whether it is acknowledged."""
+
+    async def replace_config(
+        self, *, version: int, source: bytes, packed: bytes
+    ) -> commands.ConfigResult:
+        """Puts a document in effect unless a higher version is."""
+
+    async def newest_config(self) -> bytes:
+        """Returns the newest document, or b"" before the first."""
+
+
+class ControlCalls:
+    """Answers the calls.
+
+    Attributes:
+        address: Address that servers are told to announce themselves to.
+    """
+
+    def __init__(
+        self, *, members: Fleet, address: str, key_secret: bytes
+    ) -> None:
+        self.address = address
+        self._members = members
+        self._key_secret = key_secret
+
+    def application(self) -> web.Application:
+        """Makes the HTTP application."""
+        app = web.Application(client_max_size=_MAX_BODY_BYTES)
+        app.router.add_put(wire.CONFIG_PATH, self._put_config)
+        app.router.add_get(wire.CONFIG_PATH, self._get_config)
+        app.router.add_put(wire.INSTANCE_PATH, self._announce)
+        app.router.add_delete(wire.INSTANCE_PATH, self._leave)
+        return app
+
+    async def _put_config(self, request: web.Request) -> web.Response:
+        source = await request.read()
+        try:
+            document = documents.Document.from_bytes(
+                source, key_secret=self._key_secret
+            )
+        except documents.InvalidDocument as error:
+            events.emit(
+                events.CONFIG_CHANGE, outcome="invalid", message=str(error)
+            )
+            return _error(400, str(error))
+        try:
+            result = await self._members.replace_config(
+                version=document.version, source=source, packed=document.packed
+            )
+        except errors.MonsoonhingeError as error:
+            events.emit(
+                events.CONFIG_CHANGE,
+                version=document.version,
+                outcome="unconfirmed",
+                message=str(error),
+            )
+            return _error(503, "the change could not be confirmed")
+        if result.code != "accepted":
+            return _error(400, result.message)
+        return web.json_response({"version": result.version})
+
+    async def _get_config(self, request: web.Request) -> web.Response:
+        try:
+            source = await self._members.newest_config()
+        except (errors.MonsoonhingeError, TimeoutError):
+            return _error(503, "the newest configuration is not known")
+        if not source:
+            return _error(503, "there is no configuration yet")
+        return web.Response(body=source, content_type="application/json")
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        target = request.match_info["target"]
+        if len(target) > _MAX_TARGET_CHARS:
+            return _error(400, "the id is too long")
+        try:
+            registration = registrations.read(target, await request.read())
+        except registrations.InvalidAnnouncement:
+            return _error(400, "the announcement names no server to use")
+        if not self._members.register(registration):
+            return _error(503, "not in touch with the other members")
+        return web.json_response({"heartbeatAddress": self.address})
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        if not self._members.deregister(request.match_info["target"]):
+            return _error(503, "not in touch with the other members")
+        return web.json_response({})
+
+
+def _error(status: int, message: str) -> web.Response:
+    return web.json_response({"error": message}, status=status)
--- /dev/null
+++ b/src/monsoonhinge/platform/documents.py
@@ -0,0 +1,267 @@
+"""Configuration documents of the platform's operators."""
+
+from collections.abc import Iterable
+import json
+import math
+from typing import Annotated, Any, Literal
+
+import pydantic
+
+from monsoonhinge.config import ingress
+from monsoonhinge.config import pack
+from monsoonhinge.config import parts
+from monsoonhinge.config import schema
+from monsoonhinge.config import validate
+from monsoonhinge.config import view
+from monsoonhinge.platform import models
+
+_MEGABYTE = 1_000_000
+
+_MAX_PRIORITY = 9
+
+
+class InvalidDocument(Exception):
+    """A document that can never be in force."""
+
+
+class _Backend(models.Wire):
+    service: str
+    weight: models.Count = 1
+
+
+class _Route(models.Wire):
+    name: str
+    host: str
+    path_prefix: str = pydantic.Field(alias="pathPrefix")
+    # What may be repeated.
+    execution: Literal["idempotent", "non_idempotent", "streaming"] = (
+        pydantic.Field(alias="type")
+    )
+    timeout_ms: models.PositiveCount = pydantic.Field(alias="timeoutMs")
+    # Time until the first byte of an answer that earns its full credit.
+    target_latency_ms: models.Count = pydantic.Field(
+        alias="targetLatencyMs", default=0
+    )
+    target_gap_ms: models.Count = pydantic.Field(alias="targetGapMs", default=0)
+    priority: models.Count = 0
+    service: str | None = None
+    split: list[_Backend] | None = None
+    max_attempts: models.PositiveCount = pydantic.Field(
+        alias="maxAttempts", default=1
+    )
+    public: bool = False
+    resumable: bool = False
+
+
+class _Model(models.Wire):
+    name: str
+    weights_mb: models.PositiveNumber = pydantic.Field(alias="weightsMb")
+    load_s: models.PositiveNumber = pydantic.Field(alias="loadS")
+    # From the host memory of a server.
+    warm_s: models.PositiveNumber | None = pydantic.Field(
+        alias="warmS", default=None
+    )
+    disk_s: models.PositiveNumber | None = pydantic.Field(
+        alias="diskS", default=None
+    )
+    # How many there are; they are called a1, a2 and so on.
+    adapters: models.Count = 0
+    adapter_mb: models.Number = pydantic.Field(alias="adapterSizeMb", default=0)
+
+
+class _Engine(models.Wire):
+    slots: models.PositiveCount
+    kv_tokens: models.PositiveCount = pydantic.Field(alias="kvCapacityTokens")
+    # Of one server, for weights and adapters together.
+    weights_mb: models.PositiveNumber = pydantic.Field(alias="weightsMb")
+    adapter_capacity: models.Count = pydantic.Field(
+        alias="adapterCapacity", default=0
+    )
+    loads_per_s: models.PositiveNumber = pydantic.Field(alias="loadsPerS")
+    models: list[_Model] = []
+
+
+class _Service(models.Wire):
+    name: str
+    max_connections: models.PositiveCount = pydantic.Field(
+        alias="maxConnections", default=1_000
+    )
+    engine: _Engine | None = None
+
+
+class _Limits(models.Wire):
+    max_header_bytes: models.PositiveCount = pydantic.Field(
+        alias="maxHeaderBytes", default=16 * 1024
+    )
+    max_body_bytes: models.PositiveCount = pydantic.Field(
+        alias="maxBodyBytes", default=4 * 1024 * 1024
+    )
+    header_timeout_ms: models.PositiveCount = pydantic.Field(
+        alias="headerTimeoutMs", default=5_000
+    )
+    idle_timeout_ms: models.PositiveCount = pydantic.Field(
+        alias="idleTimeoutMs", default=60_000
+    )
+
+
+class _Tenant(models.Wire):
+    name: str
+    api_keys: list[str] = pydantic.Field(alias="apiKeys", default=[])
+    priority: models.Count | None = None
+    # What ``ratePerS`` and ``burst`` count; by default requests.
+    unit: str = "requests"
+    # Tokens of a request without a token count.
+    plain_tokens: models.Count = pydantic.Field(alias="plainTokens", default=1)
+    rate_per_s: models.Number = pydantic.Field(alias="ratePerS", default=0)
+    burst: models.Number = 0
+
+
+class _Document(models.Wire):
+    version: Annotated[int, pydantic.Field(ge=1, le=parts.MAX_INTEGER)]
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+class Document:
+    """A valid document.
+
+    Attributes:
+        version: Its version.
+        packed: The product's objects made from it.
+    """
+
+    def __init__(self, *, version: int, packed: bytes) -> None:
+        self.version = version
+        self.packed = packed
+
+    @classmethod
+    def from_bytes(cls, data: bytes, *, key_secret: bytes) -> "Document":
+        """Reads and translates a document.
+
+        Raises:
+            InvalidDocument: It can never be in force.
+        """
+        try:
+            document = _Document.model_validate_json(data, strict=True)
+            objects = list(_objects(document, key_secret))
+        except pydantic.ValidationError as error:
+            raise InvalidDocument(_reason(error)) from None
+        except (ValueError, RecursionError) as error:
+            raise InvalidDocument(str(error)) from None
+        by_id = {schema.object_id(item): item for item in objects}
+        if len(by_id) != len(objects):
+            raise InvalidDocument("two entries of a kind share a name")
+        problems = validate.check(by_id)
+        if problems:
+            raise InvalidDocument(str(problems[0]))
+        return cls(
+            version=document.version,
+            packed=pack.pack([schema.canonical(item) for item in objects]),
+        )
+
+
+def _objects(
+    document: _Document, key_secret: bytes
+) -> Iterable[schema.AnyObject]:
+    for route in document.routes:
+        yield _route(route)
+    for service in document.services:
+        yield ingress.IngressService(
+            name=service.name,
+            max_connections=service.max_connections,
+            engine=None if service.engine is None else _engine(service.engine),
+        )
+    limits = document.limits
+    yield ingress.IngressLimits(
+        name="limits",
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_ms=limits.header_timeout_ms,
+        idle_timeout_ms=limits.idle_timeout_ms,
+        keys_required=document.tenants is not None,
+    )
+    owners: dict[str, str] = {}
+    for tenant in document.tenants or ():
+        yield _team(tenant)
+        for key in dict.fromkeys(tenant.api_keys):
+            if owners.setdefault(key, tenant.name) != tenant.name:
+                raise InvalidDocument("two tenants share a key")
+            key_hash = view.key_hash(secret=key_secret, key=key)
+            yield schema.Key(
+                name=f"key-{key_hash}", team=tenant.name, hash=key_hash
+            )
+
+
+def _route(route: _Route) -> ingress.IngressRoute:
+    backends = route.split
+    if backends is None:
+        backends = [_Backend(service=route.service or "")]
+    return ingress.IngressRoute(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        execution=route.execution,
+        backends=[
+            ingress.IngressBackend(
+                service=backend.service, weight=backend.weight
+            )
+            for backend in backends
+        ],
+        timeout_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        max_gap_ms=route.target_gap_ms,
+        priority=min(route.priority, _MAX_PRIORITY),
+        max_attempts=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+    )
+
+
+def _engine(engine: _Engine) -> ingress.IngressEngine:
+    return ingress.IngressEngine(
+        slots=engine.slots,
+        kv_tokens=engine.kv_tokens,
+        weights_bytes=int(engine.weights_mb * _MEGABYTE),
+        adapter_capacity=engine.adapter_capacity,
+        loads_per_s=engine.loads_per_s,
+        models=[
+            ingress.EngineModel(
+                name=model.name,
+                weights_bytes=math.ceil(model.weights_mb * _MEGABYTE),
+                load_s=model.load_s,
+                disk_load_s=model.disk_s or model.load_s,
+                warm_load_s=model.warm_s or model.disk_s or model.load_s,
+                adapters=model.adapters,
+                adapter_bytes=math.ceil(model.adapter_mb * _MEGABYTE),
+            )
+            for model in engine.models
+        ],
+    )
+
+
+def _team(tenant: _Tenant) -> schema.Team:
+    unlimited = not tenant.rate_per_s
+    return schema.Team(
+        name=tenant.name,
+        tokens_per_s=1.0 if unlimited else float(tenant.rate_per_s),
+        burst_tokens=1 if unlimited else max(1, int(tenant.burst)),
+        priority=None
+        if tenant.priority is None
+        else min(tenant.priority, _MAX_PRIORITY),
+        charged_by="tokens" if tenant.unit == "tokens" else "requests",
+        call_tokens=tenant.plain_tokens,
+        unlimited=unlimited,
+    )
+
+
+def _reason(error: pydantic.ValidationError) -> str:
+    detail: Any = error.errors(include_input=False, include_url=False)[0]
+    field = ".".join(str(part) for part in detail["loc"])
+    return f"{field}: {detail['msg']}" if field else str(detail["msg"])
+
+
+def version_of(data: bytes) -> int:
+    """Returns the version of a valid document."""
+    return int(json.loads(data)["version"])
--- /dev/null
+++ b/src/monsoonhinge/platform/engines.py
@@ -0,0 +1,145 @@
+"""Orders to servers and reports of servers."""
+
+import json
+from typing import Any
+
+import aiohttp
+import pydantic
+
+from monsoonhinge.fleet import dialect
+from monsoonhinge.platform import models
+from monsoonhinge.platform import registrations
+from monsoonhinge.platform import wire
+
+_KEEPALIVE_S = 4.0
+
+_VERDICTS = {
+    202: dialect.Verdict.STARTED,
+    200: dialect.Verdict.HOLDS,
+    409: dialect.Verdict.CONFLICT,
+    412: dialect.Verdict.FENCED,
+    421: dialect.Verdict.OTHER_INSTANCE,
+    400: dialect.Verdict.INVALID,
+}
+
+
+class _Report(models.Wire):
+    held: list[registrations.HeldModel] = pydantic.Field(
+        alias="models", default=[]
+    )
+    # Whether a load or unload of a model is being carried out.
+    busy: bool = False
+    # Orders accepted since the start, unlike the field of heartbeats.
+    sequence: models.Count
+    # Requests that wait, and requests that run.
+    queued: models.Count = 0
+    active: models.Count = 0
+    # Adapters in transit, as MODEL/ADAPTER@VERSION.
+    pending: list[str] = []
+    available: registrations.Available = registrations.Available()
+
+
+class PlatformEngines:
+    """Speaks to servers; see ``dialect.Engines``."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=_KEEPALIVE_S
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def order(
+        self,
+        *,
+        address: str,
+        target: str,
+        order: dialect.Order,
+        timeout_s: float,
+    ) -> dialect.Verdict:
+        """Gives an order."""
+        body: dict[str, Any] = {
+            "operation": "load" if order.load else "unload",
+            "model": order.model,
+            "expect": order.expected,
+            "holder": order.holder,
+            "fencingToken": order.fencing,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        status, _ = await self._call(
+            "POST", address, wire.ORDER_PATH, target, timeout_s, body
+        )
+        verdict = _VERDICTS.get(status)
+        if verdict is None:
+            raise dialect.Unanswered(
+                f"status {status}", step="order", peer=address
+            )
+        return verdict
+
+    async def report(
+        self, *, address: str, target: str, timeout_s: float
+    ) -> dialect.Report:
+        """Returns the state of an engine."""
+        status, data = await self._call(
+            "GET", address, wire.REPORT_PATH, target, timeout_s, None
+        )
+        if status != 200:
+            raise dialect.Unanswered(
+                f"status {status}", step="report", peer=address
+            )
+        try:
+            report = _Report.model_validate_json(data)
+        except pydantic.ValidationError as error:
+            raise dialect.Unanswered(
+                "the report cannot be read", step="report", peer=address
+            ) from error
+        return dialect.Report(
+            models={model.name: model.adapters for model in report.held},
+            busy=report.busy,
+            accepted=report.sequence,
+            pending=[_pending(item) for item in report.pending],
+            in_memory=report.available.in_memory,
+            on_disk=report.available.on_disk,
+            waiting=report.queued,
+            running=report.active,
+        )
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        target: str,
+        timeout_s: float,
+        body: dict[str, Any] | None,
+    ) -> tuple[int, bytes]:
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                data=None if body is None else json.dumps(body).encode(),
+                headers={
+                    wire.EXPECTED_INSTANCE: target,
+                    "Content-Type": "application/json",
+                },
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise dialect.Unanswered(
+                f"no answer: {type(error).__name__}",
+                step=f"{method} {path}",
+                peer=address,
+            ) from error
+
+
+def _pending(text: str) -> tuple[str, str]:
+    model, _, rest = text.partition(wire.ADAPTER_SEPARATOR)
+    return model, rest.partition("@")[0]
--- /dev/null
+++ b/src/monsoonhinge/platform/models.py
@@ -0,0 +1,20 @@
+"""Bases of the platform's bodies."""
+
+from typing import Annotated
+
+import pydantic
+
+Count = Annotated[int, pydantic.Field(ge=0, le=2**53)]
+PositiveCount = Annotated[int, pydantic.Field(gt=0, le=2**53)]
+Number = Annotated[float, pydantic.Field(ge=0, le=1e12, allow_inf_nan=False)]
+PositiveNumber = Annotated[
+    float, pydantic.Field(gt=0, le=1e12, allow_inf_nan=False)
+]
+
+
+class Wire(pydantic.BaseModel):
+    """Base of bodies; unknown fields may come and are ignored."""
+
+    model_config = pydantic.ConfigDict(
+        extra="ignore", frozen=True, strict=True, populate_by_name=True
+    )
--- /dev/null
+++ b/src/monsoonhinge/platform/wire.py
@@ -0,0 +1,62 @@
+"""Names of the platform: headers and calls."""
+
+# Requests of callers and answers of targets.
+REQUEST_ID = "X-Request-Id"
+MODEL = "X-Model"
+TOKEN_COUNT = "X-Token-Count"
+PROMPT_PREFIX = "X-Prompt-Prefix"
+DEADLINE_MS = "X-Deadline-Ms"
+LAST_EVENT_ID = "Last-Event-Id"
+AUTHORIZATION = "Authorization"
+SIGNATURE = "X-Server-Signature"
+NOT_EXECUTED = "X-Not-Executed"
+INSTANCE = "X-Instance-Id"
+
+# Set by the system only.
+TENANT = "X-Tenant"
+EXPECTED_INSTANCE = "X-Expected-Instance"
+PRIORITY = "X-Request-Priority"
+OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        AUTHORIZATION,
+        DEADLINE_MS,
+        EXPECTED_INSTANCE,
+        LAST_EVENT_ID,
+        PRIORITY,
+        TENANT,
+        "X-Expected-Version",
+        "X-Hold",
+        "X-Kv-Backup",
+        "X-Pin-Ms",
+        "Kv-Fetch",
+        "Kv-From",
+    )
+)
+
+# RFC 9110 section 7.6.1, and what the HTTP library sets itself.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+CONFIG_PATH = "/monsoonhinge/config"
+INSTANCE_PATH = "/monsoonhinge/instances/{target}"
+ORDER_PATH = "/monsoonhinge/order"
+REPORT_PATH = "/monsoonhinge/report"
+
+# The wire says ``MODEL/ADAPTER`` for an adapter of a model.
+ADAPTER_SEPARATOR = "/"
+
+SETTINGS_VARIABLE = "MONSOONHINGE_SETTINGS"
--- a/src/monsoonhinge/protocol/commands.py
+++ b/src/monsoonhinge/protocol/commands.py
@@ -29,6 +29,26 @@
     packed: bytes = b""
 
 
+@dataclasses.dataclass(slots=True)
+class ReplaceConfig:
+    """Replaces all objects, keys included, if its version is the highest.
+
+    An older or equal version is accepted and changes nothing.
+
+    Attributes:
+        version: Version chosen by the publisher; gaps are allowed.
+        publisher: Who publishes.
+        source: The document from which the objects were made, compressed; it
+            is what a reader of the configuration gets back.
+        packed: Canonical objects compressed by ``config.pack``.
+    """
+
+    version: int = 0
+    publisher: str = ""
+    source: bytes = b""
+    packed: bytes = b""
+
+
 @dataclasses.dataclass(slots=True)
 class GrantKey:
     """Adds a key of a team; ``hash`` is the keyed hash of the key."""
@@ -196,6 +216,7 @@
     | DropCalls
     | DecideReplicas
     | CheckpointBudget
+    | ReplaceConfig
 )
 
 
--- a/src/monsoonhinge/protocol/connection.py
+++ b/src/monsoonhinge/protocol/connection.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import os
+import socket
 import typing
 from typing import TypeVar
 
@@ -21,6 +22,12 @@
 # A peer that does not read is disconnected instead of filling memory.
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
+# A connection whose other side fell silent is closed after this time.
+_SILENCE_MS = 1_500
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+
 _LOG = logging.getLogger(__name__)
 
 _SENT_BYTES = prometheus_client.Counter(
@@ -111,6 +118,7 @@
         host, port = transport.get_extra_info("peername")[:2]
         self.peer = f"{host}:{port}"
         self._splitter.peer = self.peer
+        notice_silence(transport.get_extra_info("socket"))
         self._hello = codec.encode(
             codec.Envelope(
                 id=0,
@@ -357,3 +365,17 @@
             _LOG.debug(
                 "reply not sent", extra={"step": step, "peer": self.peer}
             )
+
+
+def notice_silence(connected: socket.socket | None) -> None:
+    """Makes the kernel close a TCP connection whose other side is silent."""
+    if connected is None or connected.family == socket.AF_UNIX:
+        return
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, _SILENCE_MS),
+    ):
+        connected.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from monsoonhinge.protocol import fleet
+
 
 @dataclasses.dataclass(slots=True)
 class Hello:
@@ -574,4 +576,9 @@
     | MemberDescription
     | AddMember
     | RemoveMember
+    | fleet.WatchRegistry
+    | fleet.Registrations
+    | fleet.FleetActive
+    | fleet.FleetDemand
+    | fleet.Placements
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -330,6 +330,90 @@
   force @1 :Bool;
 }
 
+struct HeldModel {
+  name @0 :Text;
+  version @1 :UInt64;
+  adapters @2 :List(Text);
+}
+
+struct Registration {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  address @4 :Text;
+  availabilityZone @5 :Text;
+  slots @6 :Int64;
+  state @7 :Text;
+  slowForMs @8 :Int64;
+  remainingMs @9 :Int64;
+  models @10 :List(HeldModel);
+  inMemory @11 :List(Text);
+  onDisk @12 :List(Text);
+  heldAgeMs @13 :Int64;
+}
+
+struct WatchRegistry {
+}
+
+struct Registrations {
+  registrations @0 :List(Registration);
+  subscribers @1 :Int64;
+  members @2 :List(Text);
+}
+
+struct FleetActive {
+  fencing @0 :UInt64;
+}
+
+struct ModelNeed {
+  service @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;
+  waiting @3 :Int64;
+  arrived @4 :Int64;
+  timelyForMs @5 :Int64;
+  priority @6 :Int64;
+}
+
+struct TargetUse {
+  target @0 :Text;
+  model @1 :Text;
+  running @2 :Int64;
+}
+
+struct FleetDemand {
+  gateway @0 :Text;
+  needs @1 :List(ModelNeed);
+  uses @2 :List(TargetUse);
+}
+
+struct PlacedModel {
+  name @0 :Text;
+  state @1 :Text;
+  readyInMs @2 :Int64;
+  adapters @3 :List(Text);
+}
+
+struct Placement {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  running @2 :Int64;
+  models @3 :List(PlacedModel);
+}
+
+struct Outlook {
+  service @0 :Text;
+  model @1 :Text;
+  readyInMs @2 :Int64;
+}
+
+struct Placements {
+  fencing @0 :UInt64;
+  placements @1 :List(Placement);
+  outlooks @2 :List(Outlook);
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -374,6 +458,11 @@
     memberDescription @38 :MemberDescription;
     addMember @39 :AddMember;
     removeMember @40 :RemoveMember;
+    watchRegistry @41 :WatchRegistry;
+    registrations @42 :Registrations;
+    fleetActive @43 :FleetActive;
+    fleetDemand @44 :FleetDemand;
+    placements @45 :Placements;
   }
 }
 
@@ -496,6 +585,13 @@
   reason @1 :Text;
 }
 
+struct ReplaceConfig {
+  version @0 :UInt64;
+  publisher @1 :Text;
+  source @2 :Data;
+  packed @3 :Data;
+}
+
 struct Command {
   body :union {
     publishConfig @0 :PublishConfig;
@@ -510,6 +606,7 @@
     dropCalls @9 :DropCalls;
     decideReplicas @10 :DecideReplicas;
     checkpointBudget @11 :CheckpointBudget;
+    replaceConfig @12 :ReplaceConfig;
   }
 }
 
--- a/src/monsoonhinge/runtime/logs.py
+++ b/src/monsoonhinge/runtime/logs.py
@@ -1,10 +1,12 @@
-"""JSON logs on standard error."""
+"""JSON logs on standard error, or among the decision lines."""
 
 import logging
 import sys
 
 from pythonjsonlogger import json as json_logger
 
+from monsoonhinge.runtime import events
+
 
 def configure(*, node: str, role: str, level: str = "INFO") -> None:
     """Sends all logs to standard error as one JSON object per line.
@@ -27,3 +29,28 @@
     root.handlers[:] = [handler]
     root.setLevel(level)
     logging.getLogger("aiohttp.access").setLevel("WARNING")
+
+
+def use_events(*, level: str = "INFO") -> None:
+    """Writes all logs as decision lines, bounded and without blocking.
+
+    Args:
+        level: Lowest level that is written.
+    """
+    root = logging.getLogger()
+    root.handlers[:] = [_EventHandler()]
+    root.setLevel(level)
+    logging.getLogger("aiohttp.access").setLevel("WARNING")
+
+
+class _EventHandler(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {
+            "level": record.levelname,
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            formatter = logging.Formatter()
+            fields["error"] = formatter.formatException(record.exc_info)
+        events.emit(events.LOG, **fields)
--- a/src/monsoonhinge/runtime/service.py
+++ b/src/monsoonhinge/runtime/service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import importlib.metadata
 import logging
 import pathlib
 import signal
@@ -16,6 +17,7 @@
 
 from monsoonhinge.protocol import connection
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
 from monsoonhinge.runtime import logs
 from monsoonhinge.runtime import ops
 from monsoonhinge.runtime import settings
@@ -23,6 +25,8 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
+_SECRETS = {"cluster_secret", "key_secret"}
+
 _LOG = logging.getLogger(__name__)
 
 _Settings = TypeVar("_Settings", bound=settings.Process)
@@ -41,6 +45,14 @@
         """Closes everything."""
 
 
+@typing.runtime_checkable
+class Reloadable(typing.Protocol):
+    """A process that takes changed settings while it runs."""
+
+    def reload(self, config: Any) -> None:
+        """Takes changed settings."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class Options:
     """Command-line options that every binary takes.
@@ -74,6 +86,7 @@
     options: Options,
     model: type[_Settings],
     factory: Callable[[_Settings], Process],
+    decision_log: bool = False,
 ) -> None:
     """Runs a process until it is stopped; ends with ``sys.exit``.
 
@@ -82,6 +95,7 @@
         options: Parsed command-line options.
         model: Settings model.
         factory: Makes the process from its settings, inside the loop.
+        decision_log: Whether decision lines and logs go to standard output.
     """
     try:
         config = settings.read(options.settings, model)
@@ -92,14 +106,25 @@
     if options.check:
         print(f"{options.settings}: ok")
         sys.exit(0)
-    logs.configure(node=config.node, role=role, level=config.log_level)
+    if decision_log:
+        events.configure(node=config.vm or config.node, role=role)
+        logs.use_events(level=config.log_level)
+    else:
+        logs.configure(node=config.node, role=role, level=config.log_level)
+
+    def read_again() -> _Settings:
+        return settings.read(options.settings, model)
+
     with aiomisc.entrypoint(log_config=False, pool_size=2) as loop:
-        code = loop.run_until_complete(_supervise(config, factory))
+        code = loop.run_until_complete(_supervise(config, factory, read_again))
+    events.flush()
     sys.exit(code)
 
 
 async def _supervise(
-    config: _Settings, factory: Callable[[_Settings], Process]
+    config: _Settings,
+    factory: Callable[[_Settings], Process],
+    read_again: Callable[[], _Settings],
 ) -> int:
     try:
         process = factory(config)
@@ -115,13 +140,20 @@
 
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, begin_stop)
+    if isinstance(process, Reloadable):
+        loop.add_signal_handler(
+            signal.SIGHUP, lambda: _reload(process, read_again)
+        )
     operations = ops.Operations(process=_Drainable(process, begin_stop))
     try:
         await operations.start(config.operations)
         await process.start()
         _LOG.info("started")
+        shown = config.model_dump(mode="json", exclude=_SECRETS)
+        events.emit(events.STARTED, version=_version(), settings=shown)
         await stopping.wait()
         _LOG.info("draining")
+        events.emit(events.STOPPING)
         async with asyncio.timeout(config.drain_timeout_s):
             await process.finish()
     except TimeoutError:
@@ -134,9 +166,27 @@
         await process.stop()
         await operations.stop()
     _LOG.info("stopped")
+    events.emit(events.STOPPED)
     return 0
 
 
+def _reload(process: "Reloadable", read_again: Callable[[], Any]) -> None:
+    """Takes changed settings; invalid ones leave the old ones in force."""
+    try:
+        process.reload(read_again())
+    except errors.SettingsError as error:
+        events.emit(events.RELOADED, outcome="refused", problems=error.problems)
+    else:
+        events.emit(events.RELOADED, outcome="done")
+
+
+def _version() -> str:
+    try:
+        return importlib.metadata.version("monsoonhinge")
+    except importlib.metadata.PackageNotFoundError:
+        return "unknown"
+
+
 class _Drainable:
     """A process whose drain request also stops the supervisor."""
 
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -3,7 +3,7 @@
 import ipaddress
 import json
 import pathlib
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import pydantic
 
@@ -19,11 +19,19 @@
 
 
 class Address(Strict):
-    """An IP address and a TCP port."""
+    """An IP address and a TCP port; may be written as ``host:port``."""
 
     host: str
     port: Annotated[int, pydantic.Field(ge=1, le=65535)]
 
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _split_text(cls, value: Any) -> Any:
+        if not isinstance(value, str):
+            return value
+        host, _, port = value.rpartition(":")
+        return {"host": host.strip("[]"), "port": port}
+
     @pydantic.field_validator("host")
     @classmethod
     def _check_host(cls, value: str) -> str:
@@ -73,12 +81,30 @@
     Attributes:
         members: Initial voters, the same list on each. A member that joins an
             existing cluster later lists the current members and sets ``join``.
+        seeds: Instead of ``members``, addresses of some members. A member is
+            then named after its IP address, all members listen on the same
+            port, and members join and leave without an operator.
+        first_start: With ``seeds``, whether the whole system starts for the
+            first time; the seeds then found the cluster.
+        tolerated_losses: With ``seeds``, members that may be lost at once.
+        registrations: With ``seeds``, address for targets and operators.
+        announce_ms: Time between two announcements of a target.
+        loads_window_s: Window over which the weight store counts loads.
+        key_secret: Secret under which caller keys are hashed; needed where a
+            configuration is replaced by a document that lists keys.
     """
 
     listen: Address
     data_dir: pathlib.Path
-    members: Annotated[list[Member], pydantic.Field(min_length=1)]
+    members: list[Member] = []
     join: bool = False
+    seeds: list[Address] = []
+    first_start: bool = False
+    tolerated_losses: Annotated[int, pydantic.Field(ge=0)] = 1
+    registrations: Address | None = None
+    announce_ms: Annotated[float, pydantic.Field(gt=0)] = 1000.0
+    loads_window_s: Annotated[float, pydantic.Field(gt=0)] = 5.0
+    key_secret: str = ""
     heartbeat_s: Annotated[float, pydantic.Field(gt=0)] = 0.1
     election_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 0.6
     snapshot_entries: Annotated[int, pydantic.Field(gt=0)] = 10_000
@@ -87,6 +113,12 @@
     call_retention_s: Annotated[float, pydantic.Field(gt=0)] = 86_400.0
     call_record_bytes: Annotated[int, pydantic.Field(gt=0)] = 256 * 1024 * 1024
 
+    @pydantic.model_validator(mode="after")
+    def _check_members(self) -> "Control":
+        if bool(self.members) == bool(self.seeds):
+            raise ValueError("give either members or seeds")
+        return self
+
 
 class Scheduler(Process):
     """Settings of ``monsoonhinge-scheduler``."""
@@ -118,6 +150,36 @@
     max_waiting_bytes: Annotated[int, pydantic.Field(gt=0)] = 64 * 1024 * 1024
 
 
+class Ingress(Process):
+    """Settings of ``monsoonhinge-ingress``.
+
+    Attributes:
+        callers: Address on which callers are served.
+        readiness: Address on which a load balancer asks for readiness.
+        seeds: Addresses of some control members.
+        control_port: Port on which all control members listen.
+        key_secret: Secret under which caller keys are hashed.
+        max_staleness_s: Oldest configuration that requests with a key may
+            rely on.
+        retry_ratio: Repeated attempts allowed for each request, over all
+            gateways together.
+        retry_extra: Repeated attempts allowed beside that in each window.
+        retry_window_s: Window of the retry budget.
+        stop_grace_s: Time between the request to stop and the forced end.
+    """
+
+    callers: Address
+    readiness: Address
+    seeds: Annotated[list[Address], pydantic.Field(min_length=1)]
+    control_port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+    key_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
+    max_staleness_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
+    retry_ratio: Annotated[float, pydantic.Field(ge=0)] = 0.1
+    retry_extra: Annotated[float, pydantic.Field(ge=0)] = 10.0
+    retry_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    stop_grace_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
+
+
 class Operator(Strict):
     """Settings of the ``monsoonhinge`` command line.
 
