Give an engine one swap at a time and confirm loads by announcements

Two adapter loads planned in one step each saw the room that the other took; a swap's end released an engine on which the next swap had begun; the memory of a model to load was free until its order was accepted; copies on disk were remembered after they had yielded.

Ruled out: late orders (every order carries the count of accepted ones).

Change: one adapter load for each engine and step, none during a swap; memory is reserved when a swap is planned; loads and unloads end with the engine's announcement; the latest list of copies counts. Teams may use half of the stated tolerance above their burst, so that a request larger than the burst can run.

--- a/src/monsoonhinge/fleet/adapters.py
+++ b/src/monsoonhinge/fleet/adapters.py
@@ -3,8 +3,10 @@
 Load pattern: many adapters of a few busy models are each asked for now and
 then. An adapter loads in milliseconds where its model is loaded, so it goes
 to the engine that runs least of that model, and the one unused longest yields.
+An engine that swaps models refuses all other orders meanwhile.
 """
 
+import collections
 from collections.abc import Collection, Mapping, Sequence
 import dataclasses
 
@@ -56,7 +58,12 @@
         now: Current time in seconds.
     """
     moves: list[Move] = []
-    busy = [target for target, _, _ in ordered]
+    in_transit = collections.Counter(target for target, _, _ in ordered)
+    # One load for each engine at a time: the next one must see what this one
+    # takes.
+    busy = {
+        target for target, count in in_transit.items() if count >= _IN_TRANSIT
+    }
     for key, need in needs.items():
         if key.service != service:
             continue
@@ -67,7 +74,7 @@
             move = _choose(fleet, key.model, adapter, busy, now)
             if move is not None:
                 moves.append(move)
-                busy.append(move.target)
+                busy.add(move.target)
     return moves
 
 
@@ -88,7 +95,7 @@
     fleet: Sequence[engines.Engine],
     model: str,
     adapter: str,
-    busy: Sequence[str],
+    busy: Collection[str],
     now: float,
 ) -> Move | None:
     candidates = [
@@ -97,7 +104,8 @@
         if model in engine.held
         and engine.held[model].state == engines.LOADED
         and engine.accepted is not None
-        and busy.count(engine.target) < _IN_TRANSIT
+        and not engine.swapping
+        and engine.target not in busy
     ]
     candidates.sort(
         key=lambda engine: (
--- a/src/monsoonhinge/fleet/conductor.py
+++ b/src/monsoonhinge/fleet/conductor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -17,11 +18,11 @@
 from monsoonhinge.protocol import fleet
 from monsoonhinge.runtime import events
 
-# Loads finish this much later than stated, since engines batch their work.
-_READY_MARGIN_S = 0.02
+# An engine drops a model that runs nothing within this time.
+_UNLOAD_S = 0.1
 
-# How often a load from the store is checked once it should be finished.
-_CHECK_S = 0.3
+# How often a load is checked once it should be finished.
+_CHECK_S = 0.4
 _MAX_CHECKS = 40
 
 # Gateways learn of changed running counts at most this often.
@@ -216,6 +217,10 @@
         engine.swapping = True
         for name in swap.evict:
             engine.begin_unload(name, now)
+        # The memory is taken from now on, whatever else is planned meanwhile.
+        engine.begin_load(
+            swap.model, ready_at=now + swap.load_s + _UNLOAD_S, now=now
+        )
         need = self.book.needs(now).get(
             demand.ModelKey(engine.registration.service, swap.model)
         )
@@ -237,10 +242,9 @@
         channel = self._channels[swap.target]
         try:
             for name in swap.evict:
-                if not await channel.give(load=False, model=name):
+                if not await self._unload(engine, channel, name):
                     self._refused(engine, swap, loop.time())
                     return
-                engine.finish_unload(name, loop.time())
             await self._load(engine, channel, swap)
         except orders.Deposed as error:
             events.emit(
@@ -256,6 +260,18 @@
             engine.swapping = False
             self._publish_changes(loop.time())
 
+    async def _unload(
+        self, engine: engines.Engine, channel: orders.Channel, model: str
+    ) -> bool:
+        """Unloads a model; returns whether the engine accepted that."""
+        if not await channel.give(load=False, model=model):
+            return False
+        await self._await_announced(
+            engine, lambda: model not in engine.listed, _UNLOAD_S
+        )
+        engine.finish_unload(model, asyncio.get_running_loop().time())
+        return True
+
     async def _load(
         self,
         engine: engines.Engine,
@@ -265,38 +281,62 @@
         loop = asyncio.get_running_loop()
         if swap.from_store:
             self._store.start(swap.target, swap.model, loop.time())
-        engine.begin_load(
-            swap.model, ready_at=loop.time() + swap.load_s, now=loop.time()
-        )
         if not await channel.give(load=True, model=swap.model):
             self._refused(engine, swap, loop.time())
             return
-        ready_at = loop.time() + swap.load_s + _READY_MARGIN_S
-        engine.held[swap.model].ready_at = ready_at
-        self._publish_changes(loop.time())
-        await asyncio.sleep(ready_at - loop.time())
-        if swap.from_store:
-            await self._await_loaded(channel, swap.model)
+        started_at = loop.time()
+        engine.begin_load(
+            swap.model, ready_at=started_at + swap.load_s, now=started_at
+        )
+        self._publish_changes(started_at)
+        await self._await_loaded(engine, channel, swap)
         engine.finish_load(swap.model, loop.time())
         events.emit(
             events.LOADED,
             target=swap.target,
             model=swap.model,
             from_store=swap.from_store,
+            expected_s=round(swap.load_s, 3),
+            load_s=round(loop.time() - started_at, 3),
         )
 
-    async def _await_loaded(self, channel: orders.Channel, model: str) -> None:
-        """Waits for a load whose duration depends on the weight store."""
+    async def _await_loaded(
+        self,
+        engine: engines.Engine,
+        channel: orders.Channel,
+        swap: placement.Swap,
+    ) -> None:
+        """Waits until the engine announces a model, or reports it.
+
+        A load may read from the store for seconds although a copy was listed,
+        since copies yield to newer ones.
+        """
+        patience_s = swap.load_s + _CHECK_S
         for _ in range(_MAX_CHECKS):
+            if await self._await_announced(
+                engine, lambda: swap.model in engine.listed, patience_s
+            ):
+                return
+            patience_s = _CHECK_S
             try:
-                await channel.refresh()
+                report = await channel.report()
             except dialect.Unanswered:
-                pass
-            else:
-                held = channel.engine.held.get(model)
-                if held is None or held.state == engines.LOADED:
-                    return
-            await asyncio.sleep(_CHECK_S)
+                continue
+            if swap.model in report.models or not report.busy:
+                return
+
+    async def _await_announced(
+        self,
+        engine: engines.Engine,
+        condition: Callable[[], bool],
+        timeout_s: float,
+    ) -> bool:
+        """Returns whether an announcement met a condition in time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not condition():
+                    await engine.changed.wait()
+        return condition()
 
     def _refused(
         self, engine: engines.Engine, swap: placement.Swap, now: float
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -1,10 +1,11 @@
-"""What the active member believes of one engine, without input or output.
+"""What the active member believes of one engine.
 
 The belief follows orders, since announcements and reports lag behind them.
 Memory is counted for everything that may be held, so that no order can ever
 ask for more than an engine has.
 """
 
+import asyncio
 from collections.abc import Mapping
 import dataclasses
 
@@ -57,6 +58,8 @@
         retry_at: No order is given before this time.
         running: Requests of all gateways by model.
         unloaded_at: When models were last unloaded here.
+        listed: Models in the latest announcement.
+        changed: Set and replaced at each announcement.
     """
 
     def __init__(
@@ -76,6 +79,8 @@
         self.unloaded_at: dict[str, float] = {}
         self.in_memory = set(registration.in_memory)
         self.on_disk = set(registration.on_disk)
+        self.listed = {model.name for model in registration.models}
+        self.changed = asyncio.Event()
         self._sizes = {model.name: model for model in limits.models}
         for model in registration.models:
             self.held[model.name] = Held(
@@ -98,9 +103,13 @@
     def announced(self, registration: fleet.Registration, now: float) -> None:
         """Takes a later announcement of the same incarnation."""
         self.registration = registration
-        self.in_memory.update(registration.in_memory)
-        self.on_disk.update(registration.on_disk)
+        # Copies yield to newer ones, so that the latest list counts.
+        self.in_memory = set(registration.in_memory)
+        self.on_disk = set(registration.on_disk)
         listed = {model.name: model for model in registration.models}
+        self.listed = set(listed)
+        self.changed.set()
+        self.changed = asyncio.Event()
         for name, model in listed.items():
             if name in self.held:
                 self.held[name].misses = 0
@@ -127,7 +136,7 @@
         """Takes a report that was asked for while no order was under way."""
         self.accepted = report.accepted
         self.in_memory = set(report.in_memory)
-        self.on_disk.update(report.on_disk)
+        self.on_disk = set(report.on_disk)
         for name in list(self.held):
             if name not in report.models and not report.busy:
                 del self.held[name]
--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -11,8 +11,8 @@
 _ORDER_TIMEOUT_S = 0.5
 _REPORT_TIMEOUT_S = 1.0
 
-# An engine finishes a quick order within this time.
-_BUSY_PAUSE_S = 0.03
+# An engine that refused an order is asked again after this time.
+_BUSY_PAUSE_S = 0.04
 # Reports lag this much behind the engine.
 _REPORT_LAG_S = 0.25
 _MAX_TRIES = 12
@@ -51,7 +51,7 @@
         Raises:
             dialect.Unanswered: No report came.
         """
-        report = await self._report()
+        report = await self.report()
         accepted = self.engine.accepted
         self.engine.reported(report, asyncio.get_running_loop().time())
         if accepted is not None:
@@ -70,6 +70,9 @@
             for number in range(_MAX_TRIES):
                 if not self._may_order():
                     raise Deposed("the lease is not held", step="order")
+                if self.engine.accepted is None:
+                    await asyncio.sleep(_REPORT_LAG_S)
+                    continue
                 verdict = await self._try(load, model, adapter, number)
                 if verdict is not None:
                     return verdict
@@ -123,6 +126,9 @@
                 engine.accepted = expected + 1
                 return True
             case dialect.Verdict.HOLDS:
+                # An unload of an unused adapter is done at once; it counts.
+                if adapter and not load:
+                    engine.accepted = expected + 1
                 return True
             case dialect.Verdict.FENCED:
                 raise Deposed("a higher fencing number was used", step="order")
@@ -140,7 +146,7 @@
             return None
         await asyncio.sleep(_REPORT_LAG_S)
         try:
-            report = await self._report()
+            report = await self.report()
         except dialect.Unanswered:
             return None
         engine = self.engine
@@ -151,7 +157,12 @@
         # An earlier try of the same order was carried out unanswered.
         return True if present == load and not report.busy else None
 
-    async def _report(self) -> dialect.Report:
+    async def report(self) -> dialect.Report:
+        """Asks the engine for its state without believing it.
+
+        Raises:
+            dialect.Unanswered: No report came.
+        """
         return await self._client.report(
             address=self.engine.registration.address,
             target=self.engine.target,
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -194,8 +194,13 @@
     ) -> float:
         """Returns the seconds that a swap costs requests, weighted."""
         lost = sum(self._loss(name) for name in evict)
-        crowd = 0.01 * sum(engine.running.values())
-        return load_s * (1 + need.waiting) + lost + crowd
+        # An engine that loads cannot load adapters meanwhile.
+        held_up = load_s * sum(
+            self.needs[name].rate
+            for name, held in engine.held.items()
+            if held.adapters and name in self.needs
+        )
+        return load_s * (1 + need.waiting) + lost + held_up
 
     def _loss(self, model: str) -> float:
         """Returns the expected seconds that requests lose by an eviction."""
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -7,6 +7,7 @@
 from typing import Any
 import zlib
 
+from monsoonhinge.config import schema
 from monsoonhinge.consensus import types
 from monsoonhinge.control import client as control_client
 from monsoonhinge.control import keeper
@@ -43,6 +44,9 @@
 # Without a leader for this long, a departing target is sent to another member.
 _LEADERLESS_S = 2.0
 
+# Share of the tolerance above the teams' rates that is granted.
+_GRANTED_SLACK = 0.5
+
 _PUBLISH_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.9
 
@@ -72,7 +76,9 @@
         self.lease = keeper.Keeper(
             name=LEASE, holder=name, control=self.control
         )
-        self.budgets = holder.BudgetHolder(holder=name, control=self.control)
+        self.budgets = holder.BudgetHolder(
+            holder=name, control=self.control, allowance=self._allowance
+        )
         self.conductor: conductor.Conductor | None = None
         self._engines = engines
         self._wake = asyncio.Event()
@@ -264,6 +270,18 @@
                 peer.notify(message)
         self._wake.set()
 
+    def _allowance(self, team: schema.Team) -> int:
+        """Returns what a team may use at once beyond its burst.
+
+        Rates are judged over a window with a tolerance. Part of it is granted,
+        so that a request larger than the burst can run; the rest is kept for
+        what gateways spend while no member grants.
+        """
+        config = self.config
+        window_tokens = config.rate_window_s * team.tokens_per_s
+        slack = config.rate_overage * (window_tokens + team.burst_tokens)
+        return int(_GRANTED_SLACK * (slack + config.rate_tolerance_tokens))
+
     def _in_touch(self) -> bool:
         now = asyncio.get_running_loop().time()
         return bool(self._leader) or now - self._leader_at < _LEADERLESS_S
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -200,7 +200,10 @@
 
     def _registered(self, registrations: list[fleet.Registration]) -> None:
         for registration in registrations:
-            if self.targets.register(registration):
+            known = self.targets.state(registration.target)
+            if not self.targets.register(registration):
+                continue
+            if known != (registration.incarnation, registration.state):
                 events.emit(
                     events.TARGET,
                     target=registration.target,
--- a/src/monsoonhinge/ingress/targets.py
+++ b/src/monsoonhinge/ingress/targets.py
@@ -117,6 +117,13 @@
             self._place(target, placement, None)
         return True
 
+    def state(self, name: str) -> tuple[int, str]:
+        """Returns incarnation and state of a target, (0, "") if unknown."""
+        target = self.by_name.get(name)
+        if target is None:
+            return 0, ""
+        return target.registration.incarnation, target.registration.state
+
     def place(self, message: fleet.Placements, now: float) -> bool:
         """Takes placements; returns whether they are of the latest member."""
         if message.fencing < self.fencing:
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -90,6 +90,10 @@
         registrations: With ``seeds``, address for targets and operators.
         announce_ms: Time between two announcements of a target.
         loads_window_s: Window over which the weight store counts loads.
+        rate_window_s: Window over which the teams' rates are judged.
+        rate_overage: Share by which a team may exceed its rate and burst in a
+            window.
+        rate_tolerance_tokens: Tokens by which it may exceed them beside that.
         key_secret: Secret under which caller keys are hashed; needed where a
             configuration is replaced by a document that lists keys.
     """
@@ -104,6 +108,9 @@
     registrations: Address | None = None
     announce_ms: Annotated[float, pydantic.Field(gt=0)] = 1000.0
     loads_window_s: Annotated[float, pydantic.Field(gt=0)] = 5.0
+    rate_window_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    rate_overage: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    rate_tolerance_tokens: Annotated[float, pydantic.Field(ge=0)] = 0.0
     key_secret: str = ""
     heartbeat_s: Annotated[float, pydantic.Field(gt=0)] = 0.1
     election_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 0.6
--- a/src/monsoonhinge/scheduler/holder.py
+++ b/src/monsoonhinge/scheduler/holder.py
@@ -1,8 +1,10 @@
 """Holder of the token buckets: commits checkpoints and answers gateways."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
+from monsoonhinge.config import schema
 from monsoonhinge.config import view as config_view
 from monsoonhinge.control import client as control_client
 from monsoonhinge.control import keeper
@@ -26,11 +28,25 @@
         budget: Token buckets, or None while the lease is not held.
     """
 
-    def __init__(self, *, holder: str, control: control_client.Client) -> None:
+    def __init__(
+        self,
+        *,
+        holder: str,
+        control: control_client.Client,
+        allowance: Callable[[schema.Team], int] = lambda team: 0,
+    ) -> None:
+        """Makes a holder.
+
+        Args:
+            holder: Node and incarnation of this process.
+            control: Control members.
+            allowance: Tokens that a team may use at once beyond its burst.
+        """
         self.lease = keeper.Keeper(name=SHARD, holder=holder, control=control)
         self.budget: budget.Budget | None = None
         self._control = control
         self._view = config_view.View()
+        self._allowance = allowance
         self._commits: dict[str, asyncio.Lock] = {}
 
     async def keep(self) -> None:
@@ -58,7 +74,16 @@
         """Takes the teams of the configuration."""
         self._view = view
         if self.budget is not None and view.version:
-            self.budget.configure(view.teams, asyncio.get_running_loop().time())
+            teams = {
+                name: team.model_copy(
+                    update={
+                        "burst_tokens": team.burst_tokens
+                        + self._allowance(team)
+                    }
+                )
+                for name, team in view.teams.items()
+            }
+            self.budget.configure(teams, asyncio.get_running_loop().time())
 
     async def release(self) -> None:
         """Hands the shard over."""
