Fence engines at a takeover, grant exact tokens, close callers' connections while draining

A member that took over gave orders while a load of its predecessor was under way; requests on kept connections were taken until the end of the grace time. Teams with small rates were refused within their rate since tokens for a second ahead lay unused at several gateways.

--- a/src/monsoonhinge/control/duties.py
+++ b/src/monsoonhinge/control/duties.py
@@ -16,6 +16,8 @@
 
 _INTERVAL_S = 0.1
 
+_BUDGET_LEASE = "budget/0"
+
 # Each check scans the call records, and sessions expire only after seconds.
 _SESSION_INTERVAL_S = 1.0
 
@@ -42,7 +44,10 @@
         replica: control_replica.Replica,
         members: control_members.Members,
     ) -> None:
-        self.leases = lease_timing.LeaseTimer(ttl_s=config.lease_ttl_s)
+        self.leases = lease_timing.LeaseTimer(
+            ttl_s=config.lease_ttl_s,
+            ttls_s={_BUDGET_LEASE: config.budget_lease_ttl_s},
+        )
         self.sessions = lease_timing.SessionTimer(ttl_s=config.session_ttl_s)
         self.subscribers: dict[str, messages.SubscriberState] = {}
         self._config = config
--- a/src/monsoonhinge/control/leases.py
+++ b/src/monsoonhinge/control/leases.py
@@ -22,11 +22,24 @@
     the expiry could otherwise both succeed.
     """
 
-    def __init__(self, *, ttl_s: float) -> None:
-        self.ttl_s = ttl_s
+    def __init__(
+        self, *, ttl_s: float, ttls_s: Mapping[str, float] | None = None
+    ) -> None:
+        """Makes a timer.
+
+        Args:
+            ttl_s: Time to live of a lease.
+            ttls_s: Other times, by the name of the lease.
+        """
+        self._ttl_s = ttl_s
+        self._ttls_s = dict(ttls_s or {})
         self._renewed: dict[tuple[str, int], float] = {}
         self._expiring: set[tuple[str, int]] = set()
 
+    def ttl_s(self, name: str) -> float:
+        """Returns the time to live of a lease, in seconds."""
+        return self._ttls_s.get(name, self._ttl_s)
+
     def restart(self) -> None:
         """Begins a term of leadership."""
         self._renewed.clear()
@@ -57,7 +70,7 @@
         expired = [
             key
             for key, renewed in self._renewed.items()
-            if now - renewed > self.ttl_s and key not in self._expiring
+            if now - renewed > self.ttl_s(key[0]) and key not in self._expiring
         ]
         self._expiring.update(expired)
         return expired
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -298,7 +298,9 @@
             return messages.Error(
                 code="lease_lost", message=f"lease {message.name} is not held"
             )
-        return messages.LeaseRenewed(ttl_ms=int(self.config.lease_ttl_s * 1000))
+        return messages.LeaseRenewed(
+            ttl_ms=int(self.duties.leases.ttl_s(message.name) * 1000)
+        )
 
     async def _read(self, section: str) -> messages.StateReply:
         index = await self.driver.read()
--- a/src/monsoonhinge/fleet/conductor.py
+++ b/src/monsoonhinge/fleet/conductor.py
@@ -199,18 +199,22 @@
     async def _introduce(self, engine: engines.Engine) -> None:
         """Learns the state of an engine before it gets orders."""
         channel = self._channels[engine.target]
-        while engine.accepted is None:
-            try:
-                await channel.refresh()
-            except dialect.Unanswered as error:
-                events.emit(
-                    events.DEPENDENCY,
-                    dependency="engine",
-                    target=engine.target,
-                    state="lost",
-                    error=str(error),
-                )
+        try:
+            while True:
+                try:
+                    if await channel.introduce():
+                        return
+                except dialect.Unanswered as error:
+                    events.emit(
+                        events.DEPENDENCY,
+                        dependency="engine",
+                        target=engine.target,
+                        state="lost",
+                        error=str(error),
+                    )
                 await asyncio.sleep(_CHECK_S)
+        except orders.Deposed:
+            self._deposed()
 
     def _begin(self, swap: placement.Swap, now: float) -> None:
         engine = self.engines[swap.target]
--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -45,17 +45,46 @@
         self._may_order = may_order
         self._lock = asyncio.Lock()
 
-    async def refresh(self) -> None:
-        """Asks the engine for its state.
+    async def introduce(self) -> bool:
+        """Tries to learn what the engine holds; returns whether it is known.
+
+        An order to load what is loaded makes the engine refuse late orders
+        under earlier fencing numbers. Only then, and while no order is under
+        way, do two equal reports tell what it holds.
 
         Raises:
-            dialect.Unanswered: No report came.
+            dialect.Unanswered: The engine does not answer.
+            Deposed: Another member gives orders now.
         """
-        report = await self.report()
-        accepted = self.engine.accepted
-        self.engine.reported(report, asyncio.get_running_loop().time())
-        if accepted is not None:
-            self.engine.accepted = max(accepted, report.accepted)
+        first = await self.report()
+        if first.busy:
+            return False
+        if first.models and not await self._fence(first):
+            return False
+        await asyncio.sleep(_REPORT_LAG_S)
+        second = await self.report()
+        if second.busy or second.accepted != first.accepted:
+            return False
+        self.engine.reported(second, asyncio.get_running_loop().time())
+        return True
+
+    async def _fence(self, report: dialect.Report) -> bool:
+        verdict = await self._client.order(
+            address=self.engine.registration.address,
+            target=self.engine.target,
+            order=dialect.Order(
+                load=True,
+                model=next(iter(report.models)),
+                adapter="",
+                holder=self._holder,
+                fencing=self._fencing,
+                expected=report.accepted,
+            ),
+            timeout_s=_ORDER_TIMEOUT_S,
+        )
+        if verdict is dialect.Verdict.FENCED:
+            raise Deposed("a higher fencing number was used", step="order")
+        return verdict is dialect.Verdict.HOLDS
 
     async def give(self, *, load: bool, model: str, adapter: str = "") -> bool:
         """Gives an order until its outcome is known.
@@ -71,8 +100,10 @@
                 if not self._may_order():
                     raise Deposed("the lease is not held", step="order")
                 if self.engine.accepted is None:
-                    await asyncio.sleep(_REPORT_LAG_S)
-                    continue
+                    return False
+                if load and self.engine.free_bytes() < 0:
+                    # The engine announced a model that was not known here.
+                    return False
                 verdict = await self._try(load, model, adapter, number)
                 if verdict is not None:
                     return verdict
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -1,7 +1,7 @@
 """A control member that also takes registrations and places models."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 import contextlib
 import logging
 from typing import Any
@@ -32,7 +32,7 @@
 
 _STEP_S = 0.1
 _GATHER_S = 0.005
-_LEASE_TICK_S = 0.2
+_LEASE_TICK_S = 0.1
 _EXPIRE_S = 0.25
 
 # A member that does not lead leaves a free lease to the leader for this long.
@@ -50,6 +50,8 @@
 _PUBLISH_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.9
 
+Keep = Callable[[], Coroutine[Any, Any, None]]
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -77,12 +79,15 @@
             name=LEASE, holder=name, control=self.control
         )
         self.budgets = holder.BudgetHolder(
-            holder=name, control=self.control, allowance=self._allowance
+            holder=name,
+            control=self.control,
+            allowance=self._allowance,
+            prefetch_s=0.0,
         )
         self.conductor: conductor.Conductor | None = None
         self._engines = engines
         self._wake = asyncio.Event()
-        self._free_since: float | None = None
+        self._announced = fleet.FleetActive()
         self._leader = ""
         self._leader_at = 0.0
         self._work: list[asyncio.Task[None]] = []
@@ -92,16 +97,17 @@
         await super().start()
         self.control.start()
         self._work = [
-            self._spawn(self._keep_leases()),
+            self._spawn(self._keep(self.lease, self.lease.keep)),
+            self._spawn(self._keep(self.budgets.lease, self.budgets.keep)),
             self._spawn(self._plan()),
             self._spawn(self._maintain()),
         ]
 
     async def finish(self) -> None:
         """Hands leases and leadership over."""
-        for task in self._work[:2]:
+        for task in self._work:
             task.cancel()
-        await asyncio.gather(*self._work[:2], return_exceptions=True)
+        await asyncio.gather(*self._work, return_exceptions=True)
         self._end_conductor()
         for lease in (self.lease, self.budgets):
             with contextlib.suppress(errors.MonsoonhingeError):
@@ -165,8 +171,8 @@
         match message:
             case fleet.WatchRegistry():
                 self.feed.watch(link)
+                link.notify(self._announced)
                 if self.conductor is not None:
-                    link.notify(fleet.FleetActive(fencing=self.lease.fencing))
                     link.notify(self.conductor.snapshot(now))
                 return messages.Ack()
             case fleet.Registrations():
@@ -292,39 +298,38 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         return asyncio.get_running_loop().create_task(work)
 
-    async def _keep_leases(self) -> None:
+    async def _keep(self, held: keeper.Keeper, keep: Keep) -> None:
+        """Keeps one lease; runs until cancelled."""
+        free_since: float | None = None
         loop = asyncio.get_running_loop()
         while True:
-            try:
-                if self._may_take(loop.time()):
-                    await self.lease.keep()
-                    self._follow_lease()
-                    if self.lease.held(loop.time()):
-                        await self.budgets.keep()
-            except errors.MonsoonhingeError as error:
-                _LOG.info("keeping leases: %s", error)
+            lease = self.replica.machine.leases.get(held.name)
+            if lease is not None or not self.replica.machine.version:
+                free_since = None
+            elif free_since is None:
+                free_since = loop.time()
+            # A try to take a lease that another member holds costs a commit.
+            may_take = (
+                lease.holder == held.holder
+                if lease is not None
+                else free_since is not None
+                and (
+                    self.driver.is_leader or loop.time() - free_since > _YIELD_S
+                )
+            )
+            if held.fencing or may_take:
+                try:
+                    await keep()
+                except errors.MonsoonhingeError as error:
+                    _LOG.info("keeping lease %s: %s", held.name, error)
+                self._follow_leases()
             await asyncio.sleep(_LEASE_TICK_S)
 
-    def _may_take(self, now: float) -> bool:
-        """Returns whether to acquire or renew; a failed try costs a commit."""
-        if self.lease.fencing:
-            return True
-        lease = self.replica.machine.leases.get(LEASE)
-        if lease is not None or not self.replica.machine.version:
-            self._free_since = None
-            return lease is not None and lease.holder == self.lease.holder
-        if self._free_since is None:
-            self._free_since = now
-        return self.driver.is_leader or now - self._free_since > _YIELD_S
-
-    def _follow_lease(self) -> None:
+    def _follow_leases(self) -> None:
         fencing = self.lease.fencing
         if self.conductor is not None and self.conductor.fencing != fencing:
             self._end_conductor()
         if fencing and self.conductor is None:
-            events.emit(
-                events.LEASE, lease=LEASE, fencing=fencing, outcome="held"
-            )
             self.conductor = conductor.Conductor(
                 fencing=fencing,
                 holder=self.config.node,
@@ -336,24 +341,34 @@
                 publish=self.feed.notify,
                 deposed=self._give_up,
             )
-            self.feed.notify(fleet.FleetActive(fencing=fencing))
+        self._announce_leases()
+
+    def _announce_leases(self) -> None:
+        budget = self.budgets.budget
+        message = fleet.FleetActive(
+            fencing=0 if self.conductor is None else self.conductor.fencing,
+            budget_fencing=0 if budget is None else budget.fencing,
+        )
+        if message == self._announced:
+            return
+        self._announced = message
+        events.emit(
+            events.LEASE,
+            fleet=message.fencing,
+            budget=message.budget_fencing,
+            outcome="changed",
+        )
+        self.feed.notify(message)
 
     def _give_up(self) -> None:
         self.lease.give_up()
         self._end_conductor()
 
     def _end_conductor(self) -> None:
-        if self.conductor is None:
-            return
-        events.emit(
-            events.LEASE,
-            lease=LEASE,
-            fencing=self.conductor.fencing,
-            outcome="ended",
-        )
-        self.conductor.stop()
-        self.conductor = None
-        self.feed.notify(fleet.FleetActive(fencing=0))
+        if self.conductor is not None:
+            self.conductor.stop()
+            self.conductor = None
+            self._announce_leases()
 
     async def _plan(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/monsoonhinge/gateway/wallet.py
+++ b/src/monsoonhinge/gateway/wallet.py
@@ -8,7 +8,7 @@
 _BYTES_PER_TOKEN = 4
 _RATE_HALF_LIFE_S = 1.0
 # Tokens for this much time are asked for ahead.
-_AHEAD_S = 1.0
+AHEAD_S = 1.0
 # Unused tokens go back this long before their grant expires, so that the
 # return reaches the holder in time.
 RETURN_BEFORE_S = 0.25
@@ -67,13 +67,15 @@
     """Grants of one team.
 
     Attributes:
+        ahead_s: Time for which tokens are asked for ahead.
         debt: Tokens used beyond their charge, paid from the next tokens.
         spent: Tokens charged in total, less what was refunded.
         granted: Tokens granted in total.
         returned: Tokens given back in total.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, ahead_s: float = AHEAD_S) -> None:
+        self.ahead_s = ahead_s
         self.debt = 0
         self.spent = 0
         self.granted = 0
@@ -151,7 +153,7 @@
         self._expire(now)
         if self.asking:
             return None
-        ahead = math.ceil(self._current_rate(now) * _AHEAD_S)
+        ahead = math.ceil(self._current_rate(now) * self.ahead_s)
         missing = ahead + waiting - self.balance(now)
         wants = (
             missing > 0
@@ -255,14 +257,21 @@
 
     Attributes:
         accounts: Account by team.
+        ahead_s: Time for which tokens are asked for ahead. Zero suits teams
+            whose requests are large against their rate: tokens that wait at
+            one gateway are missing at the others.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, ahead_s: float = AHEAD_S) -> None:
         self.accounts: dict[str, Account] = {}
+        self.ahead_s = ahead_s
 
     def account(self, team: str) -> Account:
         """Returns a team's account."""
-        return self.accounts.setdefault(team, Account())
+        account = self.accounts.get(team)
+        if account is None:
+            account = self.accounts[team] = Account(ahead_s=self.ahead_s)
+        return account
 
     def charge(self, team: str, tokens: int, now: float) -> Charge | None:
         """Takes tokens for a request, or nothing if too few are held."""
--- a/src/monsoonhinge/ingress/exchange.py
+++ b/src/monsoonhinge/ingress/exchange.py
@@ -47,6 +47,7 @@
         self,
         *,
         services: shared.Shared,
+        closing: bool,
         request: web.BaseRequest,
         call: dialect.Call,
         admitted: admission.Admitted,
@@ -59,6 +60,7 @@
         self.rejected = 0
         self.first_byte_at: float | None = None
         self._services = services
+        self._closing = closing
         self._request = request
         self._response: web.StreamResponse | None = None
         self._last_event_id = call.last_event_id
@@ -316,6 +318,9 @@
             headers = self._services.dialect.answer_headers(sent.answer.headers)
             headers.popall("Content-Length", None)
             self._response = web.StreamResponse(status=200, headers=headers)
+            if self._closing:
+                self._response.force_close()
+                self._response.headers["Connection"] = "close"
             self.first_byte_at = self._loop.time()
             await self._response.prepare(self._request)
         return self._response
--- a/src/monsoonhinge/ingress/link.py
+++ b/src/monsoonhinge/ingress/link.py
@@ -48,7 +48,7 @@
         self._registered = registered
         self._placed = placed
         self._demand = demand
-        self._active: dict[connection.Connection, int] = {}
+        self._active: dict[connection.Connection, fleet.FleetActive] = {}
         self._sending: asyncio.TimerHandle | None = None
         self._watching: set[asyncio.Task[None]] = set()
 
@@ -85,10 +85,9 @@
                 self._meet(message.members)
                 self._registered(message.registrations)
             case fleet.FleetActive():
-                self._active[link] = message.fencing
+                self._active[link] = message
                 self.demand_changed()
             case fleet.Placements():
-                self._active[link] = message.fencing
                 self._placed(message)
             case _:
                 return await super().handle(link, message)
@@ -97,14 +96,14 @@
     async def request_grant(
         self, request: messages.GrantRequest
     ) -> messages.Grant:
-        """Asks the placing member for tokens.
+        """Asks the member that grants for tokens.
 
         Raises:
             errors.MonsoonhingeError: No member answered.
         """
-        link = self._placing()
+        link = self._holder(lambda active: active.budget_fencing)
         if link is None:
-            raise errors.ConnectionLost("no member places", step="grant")
+            raise errors.ConnectionLost("no member grants", step="grant")
         return await link.request(
             request, messages.Grant, timeout=_GRANT_TIMEOUT_S
         )
@@ -124,14 +123,21 @@
 
     def _send_demand(self) -> None:
         self._sending = None
-        link = self._placing()
+        link = self._holder(lambda active: active.fencing)
         if link is not None:
             with contextlib.suppress(errors.ConnectionLost):
                 link.notify(self._demand())
 
-    def _placing(self) -> connection.Connection | None:
-        placing = [link for link, fencing in self._active.items() if fencing]
-        return max(placing, key=self._active.__getitem__, default=None)
+    def _holder(
+        self, fencing: Callable[[fleet.FleetActive], int]
+    ) -> connection.Connection | None:
+        """Returns the member with the highest fencing number of a lease."""
+        numbers = {
+            link: number
+            for link, active in self._active.items()
+            if (number := fencing(active))
+        }
+        return max(numbers, key=numbers.__getitem__, default=None)
 
     def _meet(self, names: list[str]) -> None:
         for name in names:
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -34,6 +34,10 @@
 # A balancer needs this long to notice that the gateway is not ready.
 _DRAIN_NOTICE_S = 2.5
 _STOP_MARGIN_S = 0.6
+
+# A request that still waits this long before the end is refused, so that it
+# can run elsewhere.
+_LAST_START_S = 2.5
 _SHUTDOWN_TIMEOUT_S = 0.5
 
 # Idle connections of callers are closed by the callers first.
@@ -91,6 +95,7 @@
         self._all_ended = asyncio.Event()
         self._dialect = wire
         self._shared: shared.Shared | None = None
+        self._servers: list[web.Server] = []
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -129,7 +134,12 @@
         loop = asyncio.get_running_loop()
         notice_until = loop.time() + _DRAIN_NOTICE_S
         end_at = loop.time() + self.config.stop_grace_s - _STOP_MARGIN_S
+        loop.call_at(end_at - _LAST_START_S, self._refuse_waiting)
         await asyncio.sleep(notice_until - loop.time())
+        for server in self._servers:
+            server.pre_shutdown()
+        for site in list(self._runners[0].sites):
+            await site.stop()
         self._all_ended.clear()
         if self.open:
             with contextlib.suppress(TimeoutError):
@@ -221,6 +231,13 @@
         if self.targets.place(message, now):
             self._wake()
 
+    def _refuse_waiting(self) -> None:
+        self.waiting.refuse_all(
+            refusal.Refusal(
+                refusal.Reason.NOT_IN_TIME, retry_after_s=0.05, step="drain"
+            )
+        )
+
     def _wake(self) -> None:
         self.waiting.wake(asyncio.get_running_loop().time())
 
@@ -268,6 +285,8 @@
         await runner.setup()
         await web.TCPSite(runner, address.host, address.port).start()
         self._runners.append(runner)
+        if address is self.config.callers:
+            self._servers.append(server)
 
     async def _readiness(self, request: web.BaseRequest) -> web.Response:
         reason = self.ready()
@@ -304,6 +323,7 @@
             assert self._shared is not None
             running = exchange.Exchange(
                 services=self._shared,
+                closing=self.draining,
                 request=request,
                 call=call,
                 admitted=admitted,
@@ -324,7 +344,7 @@
             raise
         self._log_end(request_id, running, str(response.status), execution)
         if self.draining and not response.prepared:
-            response.force_close()
+            _say_close(response)
         return response
 
     def _read(self, request: web.BaseRequest) -> dialect.Call:
@@ -455,3 +475,8 @@
             self._wake()
             metrics.WAITING.set(self.waiting.count())
             metrics.STALENESS_SECONDS.set(self.link.staleness(loop.time()))
+
+
+def _say_close(response: web.StreamResponse) -> None:
+    response.force_close()
+    response.headers["Connection"] = "close"
--- a/src/monsoonhinge/ingress/quota.py
+++ b/src/monsoonhinge/ingress/quota.py
@@ -63,7 +63,7 @@
         gateway: str,
         send: Callable[[messages.GrantRequest], Awaitable[messages.Grant]],
     ) -> None:
-        self.wallet = wallet.Wallet()
+        self.wallet = wallet.Wallet(ahead_s=0.0)
         self.gateways = 1
         self._gateway = gateway
         self._send = send
--- a/src/monsoonhinge/ingress/waiting.py
+++ b/src/monsoonhinge/ingress/waiting.py
@@ -79,6 +79,14 @@
                 if not waiter.future.done():
                     waiter.future.set_result(target)
 
+    def refuse_all(self, error: Exception) -> None:
+        """Ends the wait of all requests with an error."""
+        for waiters in list(self._waiters.values()):
+            for waiter in list(waiters):
+                self.remove(waiter)
+                if not waiter.future.done():
+                    waiter.future.set_exception(error)
+
     def count(self) -> int:
         """Returns how many requests wait."""
         return sum(len(waiters) for waiters in self._waiters.values())
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -80,9 +80,15 @@
 
 @dataclasses.dataclass(slots=True)
 class FleetActive:
-    """The sender places models under this fencing number; 0 if it stopped."""
+    """Leases that the sender holds.
+
+    Attributes:
+        fencing: Number under which it places models; 0 if it does not.
+        budget_fencing: Number under which it grants tokens; 0 if it does not.
+    """
 
     fencing: int = 0
+    budget_fencing: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -364,6 +364,7 @@
 
 struct FleetActive {
   fencing @0 :UInt64;
+  budgetFencing @1 :UInt64;
 }
 
 struct ModelNeed {
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -87,6 +87,9 @@
         first_start: With ``seeds``, whether the whole system starts for the
             first time; the seeds then found the cluster.
         tolerated_losses: With ``seeds``, members that may be lost at once.
+        lease_ttl_s: Time to live of leases.
+        budget_lease_ttl_s: Time to live of the lease of the token budget; no
+            order depends on it, so that it may be shorter.
         registrations: With ``seeds``, address for targets and operators.
         announce_ms: Time between two announcements of a target.
         loads_window_s: Window over which the weight store counts loads.
@@ -116,6 +119,7 @@
     election_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 0.6
     snapshot_entries: Annotated[int, pydantic.Field(gt=0)] = 10_000
     lease_ttl_s: Annotated[float, pydantic.Field(gt=0)] = 3.0
+    budget_lease_ttl_s: Annotated[float, pydantic.Field(gt=0)] = 3.0
     session_ttl_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     call_retention_s: Annotated[float, pydantic.Field(gt=0)] = 86_400.0
     call_record_bytes: Annotated[int, pydantic.Field(gt=0)] = 256 * 1024 * 1024
--- a/src/monsoonhinge/scheduler/budget.py
+++ b/src/monsoonhinge/scheduler/budget.py
@@ -15,7 +15,7 @@
 # Tokens committed ahead cover this much of the demand; a failover loses them.
 AHEAD_S = 1.0
 
-# A grant covers this much of a gateway's demand beyond what waits now.
+# By default a grant covers this much of a gateway's demand beyond what waits.
 PREFETCH_S = 0.5
 
 # Share of the burst that stays for gateways that did not ask yet.
@@ -90,12 +90,17 @@
     Attributes:
         shard: Lease name, ``budget/{number}``.
         fencing: Fencing number of the lease.
+        prefetch_s: A grant covers this much of a gateway's demand beyond what
+            waits now.
         buckets: Buckets by team.
     """
 
-    def __init__(self, *, shard: str, fencing: int) -> None:
+    def __init__(
+        self, *, shard: str, fencing: int, prefetch_s: float = PREFETCH_S
+    ) -> None:
         self.shard = shard
         self.fencing = fencing
+        self.prefetch_s = prefetch_s
         self.buckets: dict[str, Bucket] = {}
         self._checkpoints: dict[str, commands.CheckpointBudget] = {}
         self._next_grant = fencing * _GRANTS_PER_LEASE
@@ -107,9 +112,10 @@
         *,
         shard: str,
         fencing: int,
+        prefetch_s: float = PREFETCH_S,
     ) -> "Budget":
         """Continues from the log, as if all committed tokens were spent."""
-        budget = cls(shard=shard, fencing=fencing)
+        budget = cls(shard=shard, fencing=fencing, prefetch_s=prefetch_s)
         budget._checkpoints = {item.team: item for item in checkpoints}
         return budget
 
@@ -256,7 +262,7 @@
         kept = bucket.team.burst_tokens * _UNASKED_SHARE
         gateways = max(1, len(bucket.demand))
         share = max(0.0, (spare - kept) / gateways)
-        return int(min(demand.rate * PREFETCH_S, share))
+        return int(min(demand.rate * self.prefetch_s, share))
 
     def _retry_ms(self, bucket: Bucket, short: int) -> int:
         missing = max(1.0, min(short, bucket.team.burst_tokens) - bucket.level)
--- a/src/monsoonhinge/scheduler/holder.py
+++ b/src/monsoonhinge/scheduler/holder.py
@@ -34,6 +34,7 @@
         holder: str,
         control: control_client.Client,
         allowance: Callable[[schema.Team], int] = lambda team: 0,
+        prefetch_s: float = budget.PREFETCH_S,
     ) -> None:
         """Makes a holder.
 
@@ -41,12 +42,14 @@
             holder: Node and incarnation of this process.
             control: Control members.
             allowance: Tokens that a team may use at once beyond its burst.
+            prefetch_s: Demand that a grant covers beyond what waits.
         """
         self.lease = keeper.Keeper(name=SHARD, holder=holder, control=control)
         self.budget: budget.Budget | None = None
         self._control = control
         self._view = config_view.View()
         self._allowance = allowance
+        self._prefetch_s = prefetch_s
         self._commits: dict[str, asyncio.Lock] = {}
 
     async def keep(self) -> None:
@@ -67,6 +70,7 @@
                 ],
                 shard=SHARD,
                 fencing=fencing,
+                prefetch_s=self._prefetch_s,
             )
             self.configure(self._control.view)
 
