Order loads by value for their time, spread busy models, keep adapters in use

Ruled out: the order of requests within a gateway.

Change: a load counts what waits and what comes within 8 s for its duration; busy models are kept on several engines, new engines get them first; only adapters without running requests yield, and a failed unload ends the move; rarely used models are read from the store only by an engine with few copies or beside free ones.

--- a/src/monsoonhinge/fleet/adapters.py
+++ b/src/monsoonhinge/fleet/adapters.py
@@ -16,8 +16,9 @@
 # Time from an accepted order until the adapter serves.
 LOAD_S = 0.025
 
-# An adapter with a use this recent is not unloaded.
-_KEEP_S = 2.0
+# An adapter with a use this recent is not unloaded: an engine that waits for
+# the runs of an adapter refuses all other orders meanwhile.
+_KEEP_S = 1.0
 
 # Adapters that may be on their way to one engine.
 _IN_TRANSIT = 4
@@ -71,7 +72,13 @@
             holders = _note_use(fleet, key.model, adapter, now)
             if holders:
                 continue
-            move = _choose(fleet, key.model, adapter, busy, now)
+            full = busy | {
+                engine.target
+                for engine in fleet
+                if in_transit[engine.target]
+                and engine.adapters_held() >= engine.limits.adapter_capacity
+            }
+            move = _choose(fleet, key.model, adapter, full, now)
             if move is not None:
                 moves.append(move)
                 busy.add(move.target)
@@ -136,5 +143,6 @@
         and engine.adapter_bytes(name) >= missing
         for adapter, used_at in held.adapters.items()
         if now - used_at > _KEEP_S
+        and (name, adapter) not in engine.used_adapters
     )
     return (unused[0][1], unused[0][2]) if unused else None
--- a/src/monsoonhinge/fleet/conductor.py
+++ b/src/monsoonhinge/fleet/conductor.py
@@ -268,7 +268,8 @@
         self, engine: engines.Engine, channel: orders.Channel, model: str
     ) -> bool:
         """Unloads a model; returns whether the engine accepted that."""
-        if not await channel.give(load=False, model=model):
+        outcome = await channel.give(load=False, model=model)
+        if outcome is orders.Outcome.REFUSED:
             return False
         await self._await_announced(
             engine, lambda: model not in engine.listed, _UNLOAD_S
@@ -285,7 +286,8 @@
         loop = asyncio.get_running_loop()
         if swap.from_store:
             self._store.start(swap.target, swap.model, loop.time())
-        if not await channel.give(load=True, model=swap.model):
+        outcome = await channel.give(load=True, model=swap.model)
+        if outcome is orders.Outcome.REFUSED:
             self._refused(engine, swap, loop.time())
             return
         started_at = loop.time()
@@ -359,9 +361,6 @@
 
     def _begin_adapter(self, move: adapters.Move, now: float) -> None:
         engine = self.engines[move.target]
-        if move.evict:
-            evicted_model, evicted = move.evict
-            engine.held[evicted_model].adapters.pop(evicted, None)
         engine.held[move.model].adapters[move.adapter] = now
         self._adapter_orders.add((move.target, move.model, move.adapter))
         self._spawn(move.target, self._move_adapter(engine, move))
@@ -371,27 +370,44 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         channel = self._channels[move.target]
+        done = False
         try:
-            if move.evict:
-                model, adapter = move.evict
-                if not await channel.give(
-                    load=False, model=model, adapter=adapter
-                ):
-                    engine.held[model].adapters[adapter] = loop.time()
-            if await channel.give(
+            if move.evict and not await self._drop_adapter(engine, move.evict):
+                return
+            outcome = await channel.give(
                 load=True, model=move.model, adapter=move.adapter
-            ):
+            )
+            done = outcome is not orders.Outcome.REFUSED
+            if done:
                 await asyncio.sleep(adapters.LOAD_S)
-            elif move.model in engine.held:
-                engine.held[move.model].adapters.pop(move.adapter, None)
         except orders.Deposed:
             self._deposed()
         finally:
+            if not done and move.model in engine.held:
+                engine.held[move.model].adapters.pop(move.adapter, None)
             self._adapter_orders.discard(
                 (move.target, move.model, move.adapter)
             )
             self._publish_changes(loop.time())
 
+    async def _drop_adapter(
+        self, engine: engines.Engine, evict: tuple[str, str]
+    ) -> bool:
+        """Unloads an adapter; returns whether its memory is free."""
+        model, adapter = evict
+        outcome = await self._channels[engine.target].give(
+            load=False, model=model, adapter=adapter
+        )
+        if outcome is orders.Outcome.HOLDS:
+            if model in engine.held:
+                engine.held[model].adapters.pop(adapter, None)
+            return True
+        if outcome is orders.Outcome.STARTED:
+            # It still runs requests; until they end, nothing else is taken.
+            engine.accepted = None
+            self._spawn(engine.target, self._introduce(engine))
+        return False
+
     def _publish_changes(self, now: float) -> None:
         with_running = now - self._running_at >= _PUBLISH_RUNNING_S
         changed = []
--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -11,6 +11,10 @@
 _RATE_HALF_LIFE_S = 6.0
 
 
+# A model and an adapter of it, or "".
+Use = tuple[str, str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelKey:
     """A model of a service."""
@@ -29,6 +33,7 @@
         priority: Lowest rank number of the waiting requests.
         adapters: Waiting requests by adapter.
         rate: Requests per second, smoothed.
+        adapter_rate: The part of them that needs an adapter.
     """
 
     waiting: int = 0
@@ -36,6 +41,7 @@
     priority: int = 9
     adapters: dict[str, int] = dataclasses.field(default_factory=dict)
     rate: float = 0.0
+    adapter_rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,6 +67,7 @@
         self._gateways: dict[str, tuple[fleet.FleetDemand, float]] = {}
         self._arrived: dict[tuple[str, ModelKey, str], int] = {}
         self._rates: dict[ModelKey, _Rate] = {}
+        self._adapter_rates: dict[ModelKey, _Rate] = {}
 
     def update(self, message: fleet.FleetDemand, now: float) -> None:
         """Takes everything that a gateway needs now."""
@@ -74,6 +81,8 @@
             self._arrived[counter] = need.arrived
             if new > 0:
                 self._rates.setdefault(key, _Rate()).add(new, now)
+            if new > 0 and need.adapter:
+                self._adapter_rates.setdefault(key, _Rate()).add(new, now)
 
     def forget(self, gateway: str) -> None:
         """Drops the demand of a gateway that has disconnected."""
@@ -91,6 +100,8 @@
             key: Need(rate=rate.current(now))
             for key, rate in self._rates.items()
         }
+        for key, rate in self._adapter_rates.items():
+            result[key].adapter_rate = rate.current(now)
         for message, heard_at in self._gateways.values():
             for item in message.needs:
                 if not item.waiting:
@@ -108,11 +119,12 @@
                     )
         return result
 
-    def running(self) -> dict[str, dict[str, int]]:
-        """Returns the running requests by target and model."""
-        result: dict[str, dict[str, int]] = {}
+    def running(self) -> dict[str, dict[Use, int]]:
+        """Returns the running requests by target, model and adapter."""
+        result: dict[str, dict[Use, int]] = {}
         for message, _ in self._gateways.values():
-            for use in message.uses:
-                models = result.setdefault(use.target, {})
-                models[use.model] = models.get(use.model, 0) + use.running
+            for item in message.uses:
+                uses = result.setdefault(item.target, {})
+                use = (item.model, item.adapter)
+                uses[use] = uses.get(use, 0) + item.running
         return result
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -20,6 +20,9 @@
 # Announcements may be this old when they arrive.
 _ANNOUNCEMENT_LAG_S = 5.0
 
+# Reports may be this old; an adapter used since may be on its way.
+_REPORT_LAG_S = 1.0
+
 # A model that this many announcements in a row do not list is gone.
 _MISSES = 2
 
@@ -57,6 +60,7 @@
         swapping: Whether a load or unload of a model is under way.
         retry_at: No order is given before this time.
         running: Requests of all gateways by model.
+        used_adapters: Adapters with running requests, as (model, adapter).
         unloaded_at: When models were last unloaded here.
         listed: Models in the latest announcement.
         changed: Set and replaced at each announcement.
@@ -76,6 +80,7 @@
         self.swapping = False
         self.retry_at = 0.0
         self.running: dict[str, int] = {}
+        self.used_adapters: set[tuple[str, str]] = set()
         self.unloaded_at: dict[str, float] = {}
         self.in_memory = set(registration.in_memory)
         self.on_disk = set(registration.on_disk)
@@ -145,6 +150,9 @@
             if held.state == LOADING:
                 held.since = now
             held.state = LOADED
+            for adapter, used_at in list(held.adapters.items()):
+                if adapter not in adapters and now - used_at > _REPORT_LAG_S:
+                    del held.adapters[adapter]
             for adapter in adapters:
                 held.adapters.setdefault(adapter, now)
         for name, adapter in report.pending:
@@ -221,12 +229,22 @@
         held = self.held.get(model)
         return held is not None and held.state in (LOADED, LOADING)
 
-    def use(self, running: Mapping[str, int], now: float) -> None:
-        """Takes the requests that run on each model."""
-        self.running = dict(running)
-        for name, count in running.items():
-            if count and name in self.held:
-                self.held[name].used_at = now
+    def use(self, running: Mapping[tuple[str, str], int], now: float) -> None:
+        """Takes the requests that run on each model and adapter."""
+        self.running = {}
+        self.used_adapters = set()
+        for (name, adapter), count in running.items():
+            if not count:
+                continue
+            self.running[name] = self.running.get(name, 0) + count
+            held = self.held.get(name)
+            if held is None:
+                continue
+            held.used_at = now
+            if adapter:
+                self.used_adapters.add((name, adapter))
+                if adapter in held.adapters:
+                    held.adapters[adapter] = now
 
     def placement(self, now: float) -> fleet.Placement:
         """Returns what gateways are told."""
--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 
 from monsoonhinge.fleet import dialect
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import events
 
-_ORDER_TIMEOUT_S = 0.5
+_ORDER_TIMEOUT_S = 0.2
 _REPORT_TIMEOUT_S = 1.0
 
 # An engine that refused an order is asked again after this time.
@@ -16,6 +17,18 @@
 # Reports lag this much behind the engine.
 _REPORT_LAG_S = 0.25
 _MAX_TRIES = 12
+_MAX_ADAPTER_TRIES = 4
+
+
+class Outcome(enum.Enum):
+    """What became of an order.
+
+    A refused order changed nothing; a started one takes time.
+    """
+
+    STARTED = "started"
+    HOLDS = "holds"
+    REFUSED = "refused"
 
 
 class Deposed(errors.MonsoonhingeError):
@@ -86,32 +99,32 @@
             raise Deposed("a higher fencing number was used", step="order")
         return verdict is dialect.Verdict.HOLDS
 
-    async def give(self, *, load: bool, model: str, adapter: str = "") -> bool:
+    async def give(
+        self, *, load: bool, model: str, adapter: str = ""
+    ) -> Outcome:
         """Gives an order until its outcome is known.
 
-        Returns:
-            Whether it is carried out or already holds.
-
         Raises:
             Deposed: Another member gives orders now.
         """
+        tries = _MAX_ADAPTER_TRIES if adapter else _MAX_TRIES
         async with self._lock:
-            for number in range(_MAX_TRIES):
+            for number in range(tries):
                 if not self._may_order():
                     raise Deposed("the lease is not held", step="order")
                 if self.engine.accepted is None:
-                    return False
+                    return Outcome.REFUSED
                 if load and self.engine.free_bytes() < 0:
                     # The engine announced a model that was not known here.
-                    return False
-                verdict = await self._try(load, model, adapter, number)
-                if verdict is not None:
-                    return verdict
-        return False
+                    return Outcome.REFUSED
+                outcome = await self._try(load, model, adapter, number)
+                if outcome is not None:
+                    return outcome
+        return Outcome.REFUSED
 
     async def _try(
         self, load: bool, model: str, adapter: str, number: int
-    ) -> bool | None:
+    ) -> Outcome | None:
         engine = self.engine
         expected = engine.accepted or 0
         try:
@@ -155,22 +168,22 @@
         match verdict:
             case dialect.Verdict.STARTED:
                 engine.accepted = expected + 1
-                return True
+                return Outcome.STARTED
             case dialect.Verdict.HOLDS:
                 # An unload of an unused adapter is done at once; it counts.
                 if adapter and not load:
                     engine.accepted = expected + 1
-                return True
+                return Outcome.HOLDS
             case dialect.Verdict.FENCED:
                 raise Deposed("a higher fencing number was used", step="order")
             case dialect.Verdict.CONFLICT:
                 return await self._resolve(load, model, adapter, number)
             case _:
-                return False
+                return Outcome.REFUSED
 
     async def _resolve(
         self, load: bool, model: str, adapter: str, number: int
-    ) -> bool | None:
+    ) -> Outcome | None:
         """Finds out why an order was refused; None to try again."""
         if number < 2:
             await asyncio.sleep(_BUSY_PAUSE_S * (number + 1))
@@ -186,7 +199,7 @@
         if adapter:
             present = adapter in report.models.get(model, [])
         # An earlier try of the same order was carried out unanswered.
-        return True if present == load and not report.busy else None
+        return Outcome.HOLDS if present == load and not report.busy else None
 
     async def report(self) -> dialect.Report:
         """Asks the engine for its state without believing it.
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -19,12 +19,25 @@
 # Each rank counts this much less than the one before.
 _RANK_FACTOR = 0.8
 
+# Requests that come within this time count for a load.
+_HORIZON_S = 8.0
+
 # A model that was just loaded stays until its requests had time to arrive.
 _MIN_STAY_S = 0.25
 
-# A second replica pays once this many requests run on one engine.
-_CROWDED = 14
-_CROWDED_RATIO = 1.6
+# A model that gets this many requests a second is busy.
+_BUSY_RATE = 0.8
+
+# Engines that a busy model should be on, as a share of all: enough to lose
+# one, and to load adapters on one while another swaps models.
+_BUSY_SHARE = 0.4
+_BUSY_ADAPTER_SHARE = 0.55
+
+# Free engines beside which one may read a rarely used model from the store.
+_IDLE_ENGINES = 3
+
+# Adapter requests a second that make an engine worth keeping free of swaps.
+_ADAPTER_RATE = 0.3
 
 # Loads from the store at a time while requests arrive, as a share of the
 # engines: an engine that reads from the store for seconds serves no others.
@@ -75,8 +88,9 @@
 ) -> list[Swap]:
     """Returns the swaps to begin now, at most one for each engine."""
     planner = _Planner(service, fleet, needs, store, now)
+    planner.fill_empty()
     planner.serve_waiting()
-    planner.relieve_crowded()
+    planner.spread_busy()
     return planner.swaps
 
 
@@ -120,44 +134,69 @@
         for model, need in wanted:
             self._load(model, need, "waiting")
 
-    def relieve_crowded(self) -> None:
-        """Adds a replica of the busiest model of a crowded engine."""
-        if not self.free or len(self.fleet) < 2:
-            return
-        loads = {e.target: sum(e.running.values()) for e in self.fleet}
-        mean = sum(loads.values()) / len(loads)
-        for engine in self.fleet:
-            if loads[engine.target] < max(_CROWDED, mean * _CROWDED_RATIO):
-                continue
-            model = max(engine.running, key=engine.running.__getitem__)
-            holders = [e for e in self.fleet if e.serves(model, self.now)]
-            if any(e.held[model].state == engines.LOADING for e in holders):
-                continue
-            if 2 * len(holders) > len(self.fleet) or any(
-                loads[e.target] < mean for e in holders
-            ):
-                continue
-            need = self.needs.get(model)
-            if need is not None:
-                self._load(model, need, "crowded")
+    def spread_busy(self) -> None:
+        """Adds replicas of busy models that are on too few engines."""
+        busy = [
+            (model, need)
+            for model, need in self.needs.items()
+            if need.rate >= _BUSY_RATE
+        ]
+        busy.sort(key=lambda item: -item[1].rate)
+        for model, need in busy:
+            holders = sum(e.serves(model, self.now) for e in self.fleet)
+            if holders < self._wanted(need):
+                self._load(model, need, "busy")
+
+    def fill_empty(self) -> None:
+        """Gives engines that hold nothing the busiest models first."""
+        for model, need in sorted(
+            self.needs.items(), key=lambda item: -item[1].rate
+        ):
+            if need.rate < _BUSY_RATE:
+                return
+            empty = {
+                target: engine
+                for target, engine in self.free.items()
+                if not engine.held
+            }
+            holders = sum(e.serves(model, self.now) for e in self.fleet)
+            if empty and holders < self._wanted(need):
+                self._load(model, need, "empty", among=empty)
+
+    def _wanted(self, need: demand.Need) -> int:
+        share = _BUSY_SHARE
+        if need.adapter_rate >= _ADAPTER_RATE:
+            share = _BUSY_ADAPTER_SHARE
+        return min(len(self.fleet), max(1, math.ceil(share * len(self.fleet))))
 
-    def _urgency(self, model: str, need: demand.Need) -> tuple[bool, float]:
+    def _urgency(self, model: str, need: demand.Need) -> tuple[float, float]:
+        """Returns a sort key: most value for the time of the load first.
+
+        A load serves what waits and what comes while the model stays. Requests
+        that it cannot serve in time any more count little.
+        """
         slack = need.timely_until - self.now
-        fastest = min(
+        load_s = min(
             (e.load_s(model) for e in self.fleet if e.knows(model)),
             default=math.inf,
         )
-        timely = slack >= fastest
-        value = need.waiting * _RANK_FACTOR**need.priority
-        return not timely, slack if timely else -value
+        waiting = need.waiting * (1.0 if slack >= load_s else _LATE_SHARE)
+        value = (waiting + need.rate * _HORIZON_S) * _RANK_FACTOR**need.priority
+        return -value / load_s, slack
 
-    def _load(self, model: str, need: demand.Need, reason: str) -> None:
+    def _load(
+        self,
+        model: str,
+        need: demand.Need,
+        reason: str,
+        among: Mapping[str, engines.Engine] | None = None,
+    ) -> None:
         best: tuple[float, Swap] | None = None
-        for engine in self.free.values():
+        for engine in (self.free if among is None else among).values():
             if not engine.knows(model) or model in engine.held:
                 continue
             from_store = engine.from_store(model)
-            if from_store and not self._store_free():
+            if from_store and not self._may_use_store(engine, need):
                 continue
             evict = self._evictions(engine, model)
             if evict is None:
@@ -209,9 +248,44 @@
         others = sum(e.serves(model, self.now) for e in self.fleet) - 1
         return rate * 10.0 / (1 + 4 * max(0, others))
 
-    def _store_free(self) -> bool:
+    def _needed_for_adapters(self, engine: engines.Engine) -> bool:
+        """Returns whether adapters could be loaded nowhere else meanwhile."""
+        for model, held in engine.held.items():
+            need = self.needs.get(model)
+            if (
+                need is None
+                or held.state != engines.LOADED
+                or need.adapter_rate < _ADAPTER_RATE
+            ):
+                continue
+            if not any(
+                other is not engine
+                and other.target in self.free
+                and model in other.held
+                and other.held[model].state == engines.LOADED
+                for other in self.fleet
+            ):
+                return True
+        return False
+
+    def _may_use_store(self, engine: engines.Engine, need: demand.Need) -> bool:
+        """Returns whether an engine may read from the store for seconds.
+
+        Meanwhile it could make several loads from its own disk, so that a
+        rarely used model goes to an engine with few copies, or to one that
+        would be idle.
+        """
         limit = max(1, round(_STORE_SHARE * len(self.fleet)))
-        return self.store_starts > 0 and self.store_loading < limit
+        if self.store_starts <= 0 or self.store_loading >= limit:
+            return False
+        if self._needed_for_adapters(engine):
+            return False
+        if need.rate >= _BUSY_RATE:
+            return True
+        most = max(len(e.on_disk) for e in self.fleet)
+        if 2 * len(engine.on_disk) <= most:
+            return True
+        return self.store_loading == 0 and len(self.free) >= _IDLE_ENGINES
 
     def _evictions(
         self, engine: engines.Engine, model: str
--- a/src/monsoonhinge/ingress/exchange.py
+++ b/src/monsoonhinge/ingress/exchange.py
@@ -326,15 +326,15 @@
         return self._response
 
     def _claim(self, target: target_table.Target) -> None:
-        model = self._need.model
-        target.running[model] = target.running.get(model, 0) + 1
-        if model:
+        use = (self._need.model, self._need.adapter)
+        target.running[use] = target.running.get(use, 0) + 1
+        if self._need.model:
             self._services.demand_changed()
 
     def _release(self, target: target_table.Target) -> None:
-        model = self._need.model
-        target.running[model] = max(0, target.running.get(model, 0) - 1)
-        if model:
+        use = (self._need.model, self._need.adapter)
+        target.running[use] = max(0, target.running.get(use, 0) - 1)
+        if self._need.model:
             self._services.demand_changed()
 
     def _check_key(self) -> None:
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -195,7 +195,7 @@
                     "state": target.registration.state,
                     "address": target.registration.address,
                     "models": sorted(target.models),
-                    "running": target.running,
+                    "running": target.total(),
                     "answer_s": target.answer_s,
                 }
                 for name, target in self.targets.by_name.items()
@@ -250,9 +250,11 @@
             gateway=self.identity.node,
             needs=self.waiting.needs(now),
             uses=[
-                fleet.TargetUse(target=name, model=model, running=running)
+                fleet.TargetUse(
+                    target=name, model=model, adapter=adapter, running=running
+                )
                 for name, target in self.targets.by_name.items()
-                for model, running in target.running.items()
+                for (model, adapter), running in target.running.items()
                 if model and running
             ],
         )
--- a/src/monsoonhinge/ingress/targets.py
+++ b/src/monsoonhinge/ingress/targets.py
@@ -28,7 +28,7 @@
         ready_at: When loading models are expected to serve.
         running_elsewhere: Requests of all gateways that run there, as last
             published.
-        running: Requests of this gateway by model.
+        running: Requests of this gateway by model and adapter.
         answer_s: Smoothed time until its answers begin.
         denied: Until when models are taken as absent.
     """
@@ -37,7 +37,9 @@
     models: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     ready_at: dict[str, float] = dataclasses.field(default_factory=dict)
     running_elsewhere: int = 0
-    running: dict[str, int] = dataclasses.field(default_factory=dict)
+    running: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
     answer_s: float = 0.0
     denied: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -117,11 +117,12 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetUse:
-    """Requests of one gateway that run on a model at a target."""
+    """Requests of one gateway that run on a model or adapter at a target."""
 
     target: str = ""
     model: str = ""
     running: int = 0
+    adapter: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -381,6 +381,7 @@
   target @0 :Text;
   model @1 :Text;
   running @2 :Int64;
+  adapter @3 :Text;
 }
 
 struct FleetDemand {
