Test the fleet, the ingress and the platform path, and split long modules

Change: tests of registry, belief, orders, placement, adapters, admission, choice of targets, quota, retries, patience, events and formats; the whole path over real connections with three members, a gateway and stand-in servers, among them a member that lost its disk. Swaps, leases, the answer to a caller and the handling of callers are modules of their own.

No change of behaviour is meant.

--- a/src/monsoonhinge/fleet/conductor.py
+++ b/src/monsoonhinge/fleet/conductor.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-import contextlib
 import dataclasses
 from typing import Any
 
@@ -15,15 +14,15 @@
 from monsoonhinge.fleet import placement
 from monsoonhinge.fleet import registry as target_registry
 from monsoonhinge.fleet import store as weight_store
+from monsoonhinge.fleet import swaps
 from monsoonhinge.protocol import fleet
 from monsoonhinge.runtime import events
 
-# An engine drops a model that runs nothing within this time.
-_UNLOAD_S = 0.1
-
-# How often a load is checked once it should be finished.
+# Time until an engine that has not answered is asked for its state again.
 _CHECK_S = 0.4
-_MAX_CHECKS = 40
+
+# Time for the unloads of a swap, until its load begins.
+_UNLOAD_S = 0.1
 
 # Gateways learn of changed running counts at most this often.
 _PUBLISH_RUNNING_S = 0.5
@@ -91,7 +90,7 @@
                 for engine in self.engines.values()
                 if engine.registration.service == name
             ]
-            swaps = placement.plan(
+            planned = placement.plan(
                 service=name,
                 fleet=own,
                 needs=needs,
@@ -103,7 +102,7 @@
                 ),
                 now=now,
             )
-            for swap in swaps:
+            for swap in planned:
                 self._begin(swap, now)
             for move in adapters.plan(
                 service=name,
@@ -243,13 +242,15 @@
 
     async def _swap(self, engine: engines.Engine, swap: placement.Swap) -> None:
         loop = asyncio.get_running_loop()
-        channel = self._channels[swap.target]
+        swapper = swaps.Swapper(
+            engine=engine,
+            channel=self._channels[swap.target],
+            store=self._store,
+            changed=lambda: self._publish_changes(loop.time()),
+        )
         try:
-            for name in swap.evict:
-                if not await self._unload(engine, channel, name):
-                    self._refused(engine, swap, loop.time())
-                    return
-            await self._load(engine, channel, swap)
+            if not await swapper.run(swap):
+                self._refused(engine, swap, loop.time())
         except orders.Deposed as error:
             events.emit(
                 events.LEASE,
@@ -260,90 +261,8 @@
             )
             self._deposed()
         finally:
-            self._store.finish(swap.target, swap.model)
-            engine.swapping = False
             self._publish_changes(loop.time())
 
-    async def _unload(
-        self, engine: engines.Engine, channel: orders.Channel, model: str
-    ) -> bool:
-        """Unloads a model; returns whether the engine accepted that."""
-        outcome = await channel.give(load=False, model=model)
-        if outcome is orders.Outcome.REFUSED:
-            return False
-        await self._await_announced(
-            engine, lambda: model not in engine.listed, _UNLOAD_S
-        )
-        engine.finish_unload(model, asyncio.get_running_loop().time())
-        return True
-
-    async def _load(
-        self,
-        engine: engines.Engine,
-        channel: orders.Channel,
-        swap: placement.Swap,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        if swap.from_store:
-            self._store.start(swap.target, swap.model, loop.time())
-        outcome = await channel.give(load=True, model=swap.model)
-        if outcome is orders.Outcome.REFUSED:
-            self._refused(engine, swap, loop.time())
-            return
-        started_at = loop.time()
-        engine.begin_load(
-            swap.model, ready_at=started_at + swap.load_s, now=started_at
-        )
-        self._publish_changes(started_at)
-        await self._await_loaded(engine, channel, swap)
-        engine.finish_load(swap.model, loop.time())
-        events.emit(
-            events.LOADED,
-            target=swap.target,
-            model=swap.model,
-            from_store=swap.from_store,
-            expected_s=round(swap.load_s, 3),
-            load_s=round(loop.time() - started_at, 3),
-        )
-
-    async def _await_loaded(
-        self,
-        engine: engines.Engine,
-        channel: orders.Channel,
-        swap: placement.Swap,
-    ) -> None:
-        """Waits until the engine announces a model, or reports it.
-
-        A load may read from the store for seconds although a copy was listed,
-        since copies yield to newer ones.
-        """
-        patience_s = swap.load_s + _CHECK_S
-        for _ in range(_MAX_CHECKS):
-            if await self._await_announced(
-                engine, lambda: swap.model in engine.listed, patience_s
-            ):
-                return
-            patience_s = _CHECK_S
-            try:
-                report = await channel.report()
-            except dialect.Unanswered:
-                continue
-            if swap.model in report.models or not report.busy:
-                return
-
-    async def _await_announced(
-        self,
-        engine: engines.Engine,
-        condition: Callable[[], bool],
-        timeout_s: float,
-    ) -> bool:
-        """Returns whether an announcement met a condition in time."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                while not condition():
-                    await engine.changed.wait()
-        return condition()
-
     def _refused(
         self, engine: engines.Engine, swap: placement.Swap, now: float
     ) -> None:
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -1,9 +1,8 @@
 """A control member that also takes registrations and places models."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 import contextlib
-import logging
 from typing import Any
 import zlib
 
@@ -17,6 +16,7 @@
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import dialect
 from monsoonhinge.fleet import feed
+from monsoonhinge.fleet import leasing
 from monsoonhinge.fleet import registry as target_registry
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
@@ -32,12 +32,8 @@
 
 _STEP_S = 0.1
 _GATHER_S = 0.005
-_LEASE_TICK_S = 0.1
 _EXPIRE_S = 0.25
 
-# A member that does not lead leaves a free lease to the leader for this long.
-_YIELD_S = 0.6
-
 # Announcements missed before a target counts as silent.
 _MISSED = 3.0
 
@@ -50,10 +46,6 @@
 _PUBLISH_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.9
 
-Keep = Callable[[], Coroutine[Any, Any, None]]
-
-_LOG = logging.getLogger(__name__)
-
 
 class FleetProcess(control_process.ControlProcess):
     """Serves the replicated state, and places models while it has the lease."""
@@ -97,8 +89,10 @@
         await super().start()
         self.control.start()
         self._work = [
-            self._spawn(self._keep(self.lease, self.lease.keep)),
-            self._spawn(self._keep(self.budgets.lease, self.budgets.keep)),
+            self._spawn(self._leasing(self.lease, self.lease.keep).run()),
+            self._spawn(
+                self._leasing(self.budgets.lease, self.budgets.keep).run()
+            ),
             self._spawn(self._plan()),
             self._spawn(self._maintain()),
         ]
@@ -298,32 +292,16 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         return asyncio.get_running_loop().create_task(work)
 
-    async def _keep(self, held: keeper.Keeper, keep: Keep) -> None:
-        """Keeps one lease; runs until cancelled."""
-        free_since: float | None = None
-        loop = asyncio.get_running_loop()
-        while True:
-            lease = self.replica.machine.leases.get(held.name)
-            if lease is not None or not self.replica.machine.version:
-                free_since = None
-            elif free_since is None:
-                free_since = loop.time()
-            # A try to take a lease that another member holds costs a commit.
-            may_take = (
-                lease.holder == held.holder
-                if lease is not None
-                else free_since is not None
-                and (
-                    self.driver.is_leader or loop.time() - free_since > _YIELD_S
-                )
-            )
-            if held.fencing or may_take:
-                try:
-                    await keep()
-                except errors.MonsoonhingeError as error:
-                    _LOG.info("keeping lease %s: %s", held.name, error)
-                self._follow_leases()
-            await asyncio.sleep(_LEASE_TICK_S)
+    def _leasing(
+        self, held: keeper.Keeper, keep: leasing.Keep
+    ) -> leasing.Leasing:
+        return leasing.Leasing(
+            held=held,
+            keep=keep,
+            driver=self.driver,
+            replica=self.replica,
+            changed=self._follow_leases,
+        )
 
     def _follow_leases(self) -> None:
         fencing = self.lease.fencing
--- a/src/monsoonhinge/ingress/exchange.py
+++ b/src/monsoonhinge/ingress/exchange.py
@@ -11,8 +11,8 @@
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import patience
 from monsoonhinge.ingress import refusal
+from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import shared
-from monsoonhinge.ingress import stream
 from monsoonhinge.ingress import targets as target_table
 from monsoonhinge.ingress import upstream
 from monsoonhinge.ingress import waiting
@@ -40,7 +40,8 @@
         admitted: Route, team and service.
         limits: Until when it may wait, run and be on time.
         ran: Attempts that a target may have run.
-        outcome: How it ended, for the log.
+        rejected: Attempts that a target turned away.
+        relay: The answer to the caller.
     """
 
     def __init__(
@@ -58,12 +59,13 @@
         self.limits = limits
         self.ran = 0
         self.rejected = 0
-        self.first_byte_at: float | None = None
+        self.relay = relay.Relay(
+            request=request,
+            wire=services.dialect,
+            closing=closing,
+            last_event_id=call.last_event_id,
+        )
         self._services = services
-        self._closing = closing
-        self._request = request
-        self._response: web.StreamResponse | None = None
-        self._last_event_id = call.last_event_id
         self._avoid: set[str] = set()
         self._loop = asyncio.get_running_loop()
         model = call.model if admitted.service.engine is not None else ""
@@ -88,7 +90,7 @@
             try:
                 sent = await self._attempt()
             except refusal.Refusal as error:
-                if self._response is not None:
+                if self.relay.response is not None:
                     raise BrokenOff from error
                 raise (error.after_run() if self.ran else error) from error
             try:
@@ -96,14 +98,14 @@
             except forward.AnswerLost as error:
                 self._failed(sent.target, "broke_off", error)
                 if not self._may_repeat():
-                    if self._response is not None:
+                    if self.relay.response is not None:
                         raise BrokenOff from error
                     raise self._lost(error) from error
                 events.emit(
                     events.RESUMED,
                     request_id=self.call.request_id,
                     target=sent.target.name,
-                    last_event_id=self._last_event_id,
+                    last_event_id=self.relay.last_event_id,
                     error=str(error),
                 )
                 continue
@@ -221,7 +223,7 @@
             rank=patience.rank(self.admitted.priority)
             if self._need.model
             else None,
-            last_event_id=self._last_event_id,
+            last_event_id=self.relay.last_event_id,
         )
         address = target.registration.address
         try:
@@ -248,83 +250,25 @@
         Raises:
             forward.AnswerLost: It broke off.
         """
-        status = sent.answer.status
+        answer = sent.answer
         streaming = self.admitted.route.execution == "streaming"
-        if streaming and status == 200:
-            return await self._relay_stream(sent)
-        body = await sent.answer.body()
-        if status >= 500 and self._may_repeat():
-            self._avoid.add(sent.target.name)
-            return None
-        if self._response is not None:
-            raise forward.AnswerLost(
-                f"status {status} instead of the rest of a stream",
-                step="resume",
-                peer=sent.answer.peer,
+        response: web.StreamResponse
+        if streaming and answer.status == 200:
+            response = await self.relay.pass_stream(
+                answer,
+                deadline=self.limits.deadline,
+                gap_s=self.limits.gap_s if self._repeats_left() else None,
             )
-        self._services.balancer.ejections.succeeded(
-            sent.target.name, self._loop.time()
-        )
-        self.first_byte_at = self._loop.time()
-        return web.Response(
-            status=status,
-            body=body,
-            headers=self._services.dialect.answer_headers(sent.answer.headers),
-        )
-
-    async def _relay_stream(self, sent: _Sent) -> web.StreamResponse:
-        splitter = stream.Splitter()
-        gap_s = self.limits.gap_s if self._repeats_left() else None
-        chunks = sent.answer.chunks()
-        while True:
-            limit = self.limits.deadline
-            if gap_s is not None:
-                limit = min(limit, self._loop.time() + gap_s)
-            try:
-                async with asyncio.timeout_at(limit):
-                    chunk = await anext(chunks, None)
-                    for event in splitter.feed(chunk or b""):
-                        await self._pass_on(sent, event)
-            except (TimeoutError, stream.Oversized) as error:
-                raise forward.AnswerLost(
-                    "no event in time",
-                    step="read",
-                    peer=sent.answer.peer,
-                    timed_out=True,
-                ) from error
-            if chunk is None:
-                break
-        response = await self._begin(sent)
-        if splitter.rest:
-            await response.write(splitter.rest)
-        await response.write_eof()
+        else:
+            response = await self.relay.pass_whole(answer)
+            if answer.status >= 500 and self._may_repeat():
+                self._avoid.add(sent.target.name)
+                return None
         self._services.balancer.ejections.succeeded(
             sent.target.name, self._loop.time()
         )
         return response
 
-    async def _pass_on(self, sent: _Sent, event: stream.Event) -> None:
-        if event.event_id and _position(event.event_id) <= _position(
-            self._last_event_id
-        ):
-            return
-        response = await self._begin(sent)
-        await response.write(event.data)
-        if event.event_id:
-            self._last_event_id = event.event_id
-
-    async def _begin(self, sent: _Sent) -> web.StreamResponse:
-        if self._response is None:
-            headers = self._services.dialect.answer_headers(sent.answer.headers)
-            headers.popall("Content-Length", None)
-            self._response = web.StreamResponse(status=200, headers=headers)
-            if self._closing:
-                self._response.force_close()
-                self._response.headers["Connection"] = "close"
-            self.first_byte_at = self._loop.time()
-            await self._response.prepare(self._request)
-        return self._response
-
     def _claim(self, target: target_table.Target) -> None:
         use = (self._need.model, self._need.adapter)
         target.running[use] = target.running.get(use, 0) + 1
@@ -442,7 +386,3 @@
 
 class BrokenOff(Exception):
     """An answer broke off after a part of it was sent."""
-
-
-def _position(event_id: str) -> int:
-    return int(event_id) if event_id.isdecimal() else -1
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -9,14 +9,12 @@
 from aiohttp import web
 
 from monsoonhinge.config import view as config_view
-from monsoonhinge.gateway import wallet
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import balance
+from monsoonhinge.ingress import callers
 from monsoonhinge.ingress import dialect
-from monsoonhinge.ingress import exchange
 from monsoonhinge.ingress import link
 from monsoonhinge.ingress import metrics
-from monsoonhinge.ingress import patience
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import retries
@@ -91,10 +89,9 @@
             send=self.link.request_grant,
         )
         self.draining = False
-        self.open = 0
-        self._all_ended = asyncio.Event()
+        self.callers: callers.Callers | None = None
         self._dialect = wire
-        self._shared: shared.Shared | None = None
+        self._upstream: upstream.Upstream | None = None
         self._servers: list[web.Server] = []
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -102,9 +99,10 @@
     async def start(self) -> None:
         """Starts listening and connecting."""
         loop = asyncio.get_running_loop()
-        self._shared = shared.Shared(
+        self._upstream = upstream.Upstream()
+        services = shared.Shared(
             dialect=self._dialect,
-            upstream=upstream.Upstream(),
+            upstream=self._upstream,
             balancer=self.balancer,
             waiting=self.waiting,
             retries=self.retries,
@@ -117,8 +115,14 @@
             wake_at=self._wake_at,
             expected_s=self._expected_s,
         )
+        self.callers = callers.Callers(
+            services=services,
+            fleet_link=self.link,
+            gate=self.admission,
+            tokens=self.quota,
+        )
         self.link.start()
-        await self._listen(self._handle, self.config.callers)
+        await self._listen(self.callers.handle, self.config.callers)
         await self._listen(self._readiness, self.config.readiness)
         self._tasks = [
             loop.create_task(self._tick()),
@@ -128,6 +132,8 @@
     def drain(self) -> None:
         """Begins a graceful stop."""
         self.draining = True
+        if self.callers is not None:
+            self.callers.closing = True
 
     async def finish(self) -> None:
         """Waits until the balancer has noticed and all requests have ended."""
@@ -140,11 +146,12 @@
             server.pre_shutdown()
         for site in list(self._runners[0].sites):
             await site.stop()
-        self._all_ended.clear()
-        if self.open:
+        served = self.callers
+        if served is not None and served.open:
+            served.all_ended.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(end_at):
-                    await self._all_ended.wait()
+                    await served.all_ended.wait()
 
     def reload(self, config: settings.Ingress) -> None:
         """Takes the seeds of changed settings; the rest needs a restart."""
@@ -166,8 +173,8 @@
             await runner.cleanup()
         await self.quota.stop()
         await self.link.stop()
-        if self._shared is not None:
-            await self._shared.upstream.close()
+        if self._upstream is not None:
+            await self._upstream.close()
 
     def ready(self) -> str:
         """Returns why the process is not ready, or ""."""
@@ -186,7 +193,7 @@
         return {
             "version": self.link.view.version,
             "staleness_s": self.link.staleness(now),
-            "open": self.open,
+            "open": self.callers.open if self.callers else 0,
             "waiting": self.waiting.count(),
             "gateways": self.link.gateways,
             "fencing": self.targets.fencing,
@@ -296,179 +303,6 @@
             text=f"{reason or 'ready'}\n", status=503 if reason else 200
         )
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_at = asyncio.get_running_loop().time()
-        self.open += 1
-        metrics.RUNNING.inc()
-        try:
-            return await self._answer(request, arrived_at)
-        finally:
-            self.open -= 1
-            if not self.open:
-                self._all_ended.set()
-            metrics.RUNNING.dec()
-
-    async def _answer(
-        self, request: web.BaseRequest, arrived_at: float
-    ) -> web.StreamResponse:
-        running = None
-        request_id, execution = "", "unknown"
-        try:
-            call = self._read(request)
-            request_id = call.request_id
-            admitted = self._admit(call)
-            execution = admitted.route.execution
-            limits = patience.limits(
-                admitted.route, time_left_ms=call.time_left_ms, now=arrived_at
-            )
-            call.body = await self._body(request)
-            assert self._shared is not None
-            running = exchange.Exchange(
-                services=self._shared,
-                closing=self.draining,
-                request=request,
-                call=call,
-                admitted=admitted,
-                limits=limits,
-            )
-            response = await self._charged(running)
-        except refusal.Refusal as error:
-            response = self._refuse(request_id, error)
-            if not request.content.at_eof():
-                response.force_close()
-        except exchange.BrokenOff as error:
-            self._log_end(request_id, running, "broken_off", execution)
-            if request.transport is not None:
-                request.transport.abort()
-            raise asyncio.CancelledError from error
-        except asyncio.CancelledError:
-            self._log_end(request_id, running, "caller_left", execution)
-            raise
-        self._log_end(request_id, running, str(response.status), execution)
-        if self.draining and not response.prepared:
-            _say_close(response)
-        return response
-
-    def _read(self, request: web.BaseRequest) -> dialect.Call:
-        try:
-            return self._dialect.read(request)
-        except dialect.Malformed as error:
-            raise refusal.Refusal(
-                refusal.Reason.MALFORMED, step=str(error)
-            ) from error
-
-    def _admit(self, call: dialect.Call) -> admission.Admitted:
-        return self.admission.admit(
-            call,
-            view=self.link.view,
-            staleness=self.link.staleness(asyncio.get_running_loop().time()),
-        )
-
-    async def _body(self, request: web.BaseRequest) -> bytes:
-        limit = self.link.view.ingress_limits.max_body_bytes
-        parts: list[bytes] = []
-        size = request.content_length or 0
-        if size <= limit:
-            size = 0
-            async for part in request.content.iter_any():
-                size += len(part)
-                if size > limit:
-                    break
-                parts.append(part)
-        if size > limit:
-            raise refusal.Refusal(refusal.Reason.BODY_TOO_LARGE, step="read")
-        return b"".join(parts)
-
-    async def _charged(self, running: exchange.Exchange) -> web.StreamResponse:
-        charge = await self._charge(running)
-        try:
-            return await running.run()
-        finally:
-            if charge is not None and not running.ran:
-                self.quota.refund(charge)
-
-    async def _charge(self, running: exchange.Exchange) -> wallet.Charge | None:
-        admitted = running.admitted
-        team = admitted.team
-        if team is None or team.unlimited or not admitted.tokens:
-            return None
-        left_s = running.limits.deadline - asyncio.get_running_loop().time()
-        charge = await self.quota.charge(
-            team, admitted.tokens, time_left_s=left_s
-        )
-        if charge is None:
-            retry_after_s = self.quota.retry_after_s(team.name)
-            events.emit(
-                events.QUOTA,
-                request_id=running.call.request_id,
-                team=team.name,
-                tokens=admitted.tokens,
-                rate=team.tokens_per_s,
-                retry_after_s=round(retry_after_s, 3),
-                outcome="refused",
-            )
-            raise refusal.Refusal(
-                refusal.Reason.OVER_QUOTA,
-                retry_after_s=retry_after_s,
-                step="charge",
-            )
-        return charge
-
-    def _refuse(self, request_id: str, error: refusal.Refusal) -> web.Response:
-        events.emit(
-            events.REFUSAL,
-            request_id=request_id,
-            reason=error.reason.value,
-            step=error.step,
-            peer=error.peer,
-            status=error.status,
-            retry_after_s=error.retry_after_s,
-            config=self.link.view.version,
-        )
-        metrics.REFUSALS.labels(error.reason.value).inc()
-        headers = {"X-Request-Id": request_id} if request_id else {}
-        retry_after = error.retry_after()
-        if retry_after is not None:
-            headers["Retry-After"] = retry_after
-        return web.Response(
-            status=error.status,
-            text=f'{{"error":"{error.reason.value}"}}\n',
-            content_type="application/json",
-            headers=headers,
-        )
-
-    def _log_end(
-        self,
-        request_id: str,
-        running: exchange.Exchange | None,
-        outcome: str,
-        execution: str,
-    ) -> None:
-        metrics.REQUESTS.labels(execution, outcome).inc()
-        if running is None:
-            return
-        now = asyncio.get_running_loop().time()
-        first_byte_at = running.first_byte_at
-        arrived_at = running.limits.arrived_at
-        first_s = None
-        if first_byte_at is not None:
-            first_s = round(first_byte_at - arrived_at, 4)
-            metrics.FIRST_BYTE_SECONDS.labels(execution).observe(first_s)
-        events.emit(
-            events.REQUEST,
-            request_id=request_id,
-            route=running.admitted.route.name,
-            team=running.admitted.team.name if running.admitted.team else "",
-            model=running.call.model,
-            adapter=running.call.adapter,
-            attempts=running.ran,
-            rejected=running.rejected,
-            first_byte_s=first_s,
-            total_s=round(now - arrived_at, 4),
-            config=running.admitted.version,
-            outcome=outcome,
-        )
-
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -477,8 +311,3 @@
             self._wake()
             metrics.WAITING.set(self.waiting.count())
             metrics.STALENESS_SECONDS.set(self.link.staleness(loop.time()))
-
-
-def _say_close(response: web.StreamResponse) -> None:
-    response.force_close()
-    response.headers["Connection"] = "close"
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet of targets."""
--- /dev/null
+++ b/tests/fleet/test_engine.py
@@ -0,0 +1,188 @@
+"""Tests of the belief about an engine and of the orders to it."""
+
+import asyncio
+
+import pytest
+
+from monsoonhinge.fleet import dialect
+from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import orders
+from tests.fleet import world
+
+
+def _report(
+    models: dict[str, list[str]], *, accepted: int = 0, busy: bool = False
+) -> dialect.Report:
+    return dialect.Report(
+        models=models,
+        busy=busy,
+        accepted=accepted,
+        pending=[],
+        in_memory=[],
+        on_disk=[],
+        waiting=0,
+        running=0,
+    )
+
+
+class _Engine:
+    """Answers orders in turn; ``None`` stands for no answer."""
+
+    def __init__(
+        self,
+        *verdicts: dialect.Verdict | None,
+        reports: list[dialect.Report] | None = None,
+    ) -> None:
+        self.verdicts = list(verdicts)
+        self.reports = reports or []
+        self.orders: list[dialect.Order] = []
+
+    async def order(
+        self,
+        *,
+        address: str,
+        target: str,
+        order: dialect.Order,
+        timeout_s: float,
+    ) -> dialect.Verdict:
+        self.orders.append(order)
+        verdict = self.verdicts.pop(0)
+        if verdict is None:
+            raise dialect.Unanswered("no answer")
+        return verdict
+
+    async def report(
+        self, *, address: str, target: str, timeout_s: float
+    ) -> dialect.Report:
+        return self.reports.pop(0) if len(self.reports) > 1 else self.reports[0]
+
+    async def close(self) -> None:
+        pass
+
+
+def _channel(
+    engine: engines.Engine, client: _Engine, *, held: bool = True
+) -> orders.Channel:
+    return orders.Channel(
+        engine=engine,
+        client=client,
+        holder="h",
+        fencing=7,
+        may_order=lambda: held,
+    )
+
+
+def test_memory_counts_what_may_be_loading() -> None:
+    """Guards against a second load into memory that a first one takes."""
+    engine = world.engine(models=("m1", "m2"))
+    engine.begin_load("m3", ready_at=1.0, now=0.0)
+    assert engine.free_bytes() == 10 * world.GIGABYTE
+
+
+def test_late_announcement_does_not_bring_back_an_unloaded_model() -> None:
+    """Guards against a model that is believed held after its unload."""
+    engine = world.engine(models=("m1",))
+    engine.begin_unload("m1", 1.0)
+    engine.finish_unload("m1", 1.1)
+    engine.announced(world.registration(sequence=2, models=("m1",)), 2.0)
+    assert "m1" not in engine.held
+
+
+def test_model_is_dropped_after_two_announcements_without_it() -> None:
+    """Guards against one outdated announcement that empties an engine."""
+    engine = world.engine(models=("m1",))
+    engine.announced(world.registration(sequence=2), 10.0)
+    assert "m1" in engine.held
+    engine.announced(world.registration(sequence=3), 11.0)
+    assert "m1" not in engine.held
+
+
+def test_latest_copies_count() -> None:
+    """Guards against a load from a copy that has yielded."""
+    engine = world.engine(on_disk=("m1",))
+    engine.announced(world.registration(sequence=2, on_disk=("m2",)), 1.0)
+    assert engine.from_store("m1")
+    assert not engine.from_store("m2")
+
+
+async def _give(channel: orders.Channel, **order: object) -> orders.Outcome:
+    return await channel.give(**order)  # type: ignore[arg-type]
+
+
+def test_unanswered_order_is_repeated_under_the_same_count() -> None:
+    """Guards against an order that is carried out twice."""
+    client = _Engine(None, dialect.Verdict.STARTED)
+    engine = world.engine()
+    outcome = asyncio.run(
+        _give(_channel(engine, client), load=True, model="m1")
+    )
+    assert outcome is orders.Outcome.STARTED
+    assert [order.expected for order in client.orders] == [0, 0]
+    assert engine.accepted == 1
+
+
+def test_order_carried_out_unanswered_is_recognised() -> None:
+    """Guards against a loaded model that nobody uses."""
+    conflict = dialect.Verdict.CONFLICT
+    client = _Engine(
+        None, *[conflict] * 9, reports=[_report({"m1": []}, accepted=1)]
+    )
+    engine = world.engine()
+    outcome = asyncio.run(
+        _give(_channel(engine, client), load=True, model="m1")
+    )
+    assert outcome is orders.Outcome.HOLDS
+    assert engine.accepted == 1
+
+
+def test_fenced_member_stops() -> None:
+    """Guards against two members that order in turn."""
+    client = _Engine(dialect.Verdict.FENCED)
+    with pytest.raises(orders.Deposed):
+        asyncio.run(
+            _give(_channel(world.engine(), client), load=True, model="m1")
+        )
+
+
+def test_no_order_without_the_lease() -> None:
+    """Guards against orders after the lease has ended."""
+    client = _Engine()
+    channel = _channel(world.engine(), client, held=False)
+    with pytest.raises(orders.Deposed):
+        asyncio.run(_give(channel, load=True, model="m1"))
+    assert not client.orders
+
+
+def test_load_is_not_repeated_once_memory_is_taken() -> None:
+    """Guards against LIMIT when an engine announces an unknown model."""
+    engine = world.engine(models=("m1", "m2", "m3"))
+    engine.begin_load("m4", ready_at=1.0, now=0.0)
+    client = _Engine()
+    outcome = asyncio.run(
+        _give(_channel(engine, client), load=True, model="m4")
+    )
+    assert outcome is orders.Outcome.REFUSED
+    assert not client.orders
+
+
+def test_taken_over_engine_gets_no_order_while_a_load_is_under_way() -> None:
+    """Guards against a load into memory that a predecessor's load takes."""
+    client = _Engine(reports=[_report({"m1": []}, accepted=3, busy=True)])
+    engine = world.engine(models=("m1",))
+    engine.accepted = None
+    assert not asyncio.run(_channel(engine, client).introduce())
+    assert engine.accepted is None
+
+
+def test_takeover_fences_before_it_believes() -> None:
+    """Guards against late orders of a predecessor."""
+    client = _Engine(
+        dialect.Verdict.HOLDS, reports=[_report({"m1": []}, accepted=3)]
+    )
+    engine = world.engine()
+    engine.accepted = None
+    assert asyncio.run(_channel(engine, client).introduce())
+    assert client.orders[0].fencing == 7
+    assert client.orders[0].model == "m1"
+    assert engine.accepted == 3
+    assert set(engine.held) == {"m1"}
--- /dev/null
+++ b/tests/fleet/test_placement.py
@@ -0,0 +1,226 @@
+"""Tests of the placement, each with the load that it answers."""
+
+import math
+
+import hypothesis
+from hypothesis import strategies as st
+
+from monsoonhinge.fleet import adapters
+from monsoonhinge.fleet import demand
+from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import store as weight_store
+from tests.fleet import world
+
+_NOW = 10.0
+_STORE = placement.StoreState(loading=0, may_start=10)
+
+
+def _need(
+    *,
+    waiting: int = 0,
+    rate: float = 0.0,
+    slack_s: float = 3.0,
+    adapter_rate: float = 0.0,
+    adapters_wanted: dict[str, int] | None = None,
+) -> demand.Need:
+    return demand.Need(
+        waiting=waiting,
+        timely_until=_NOW + slack_s,
+        priority=1,
+        adapters=adapters_wanted or {},
+        rate=rate,
+        adapter_rate=adapter_rate,
+    )
+
+
+def _plan(
+    fleet: list[engines.Engine], needs: dict[str, demand.Need]
+) -> list[placement.Swap]:
+    return placement.plan(
+        service=world.SERVICE,
+        fleet=fleet,
+        needs={world.key(name): need for name, need in needs.items()},
+        store=_STORE,
+        now=_NOW,
+    )
+
+
+def test_busy_model_goes_before_single_rare_requests() -> None:
+    """Guards against a moved busy model that waits behind rare ones."""
+    fleet = [world.engine(models=("m1", "m2", "m3"), on_disk=("m9",))]
+    swaps = _plan(
+        fleet,
+        {
+            "m9": _need(waiting=1, rate=0.05),
+            "m5": _need(waiting=9, rate=4.0, slack_s=0.3),
+        },
+    )
+    assert [swap.model for swap in swaps] == ["m5"]
+
+
+def test_model_with_running_requests_does_not_yield() -> None:
+    """Guards against an unload that waits for seconds."""
+    fleet = [
+        world.engine(
+            models=("m1", "m2", "m3"),
+            on_disk=("m9",),
+            running={"m1": 2, "m2": 1},
+        )
+    ]
+    swaps = _plan(fleet, {"m9": _need(waiting=1)})
+    assert [swap.evict for swap in swaps] == [("m3",)]
+
+
+def test_load_goes_where_a_copy_is() -> None:
+    """Guards against a load from the store beside a copy on disk."""
+    fleet = [
+        world.engine("t1", models=("m1", "m2", "m3")),
+        world.engine("t2", models=("m1", "m2", "m3"), on_disk=("m9",)),
+    ]
+    (swap,) = _plan(fleet, {"m9": _need(waiting=1)})
+    assert (swap.target, swap.from_store) == ("t2", False)
+
+
+def test_rare_model_does_not_hold_a_full_engine_for_a_store_load() -> None:
+    """Guards against six seconds for one late request while others wait."""
+    fleet = [world.engine(models=("m1",), on_disk=("m1", "m2", "m3"))]
+    assert not _plan(fleet, {"m9": _need(waiting=1, rate=0.05)})
+
+
+def test_new_engine_gets_the_busy_models_first() -> None:
+    """Guards against an empty engine that loads one rare model for seconds."""
+    fleet = [
+        world.engine("t1", models=("m1", "m2", "m3"), on_disk=("m1",)),
+        world.engine("t2"),
+    ]
+    swaps = _plan(
+        fleet,
+        {
+            "m1": _need(rate=5.0, adapter_rate=1.0),
+            "m9": _need(waiting=1, rate=0.05),
+        },
+    )
+    assert [(swap.target, swap.model) for swap in swaps] == [("t2", "m1")]
+
+
+def test_only_holder_of_busy_adapters_reads_nothing_from_the_store() -> None:
+    """Guards against adapter requests that wait for a load of seconds."""
+    fleet = [
+        world.engine("t1", models=("m1",)),
+        world.engine("t2", models=("m2",)),
+    ]
+    swaps = _plan(
+        fleet,
+        {
+            "m1": _need(rate=2.0, adapter_rate=1.0),
+            "m9": _need(waiting=8, rate=2.0),
+        },
+    )
+    assert [swap.target for swap in swaps if swap.model == "m9"] == ["t2"]
+
+
+_MODELS = st.sampled_from([f"m{number}" for number in range(20)])
+
+
+@hypothesis.given(
+    st.lists(st.sets(_MODELS, max_size=3), min_size=1, max_size=5),
+    st.dictionaries(_MODELS, st.integers(0, 5), max_size=10),
+)
+def test_no_swap_exceeds_the_memory_of_an_engine(
+    held: list[set[str]], waiting: dict[str, int]
+) -> None:
+    """Guards against an order that an engine cannot carry out."""
+    fleet = [
+        world.engine(f"t{number}", models=tuple(sorted(models)))
+        for number, models in enumerate(held)
+    ]
+    by_name = {engine.target: engine for engine in fleet}
+    swaps = _plan(
+        fleet,
+        {name: _need(waiting=count) for name, count in waiting.items()},
+    )
+    assert len({swap.target for swap in swaps}) == len(swaps)
+    for swap in swaps:
+        engine = by_name[swap.target]
+        freed = sum(engine.size_bytes(name) for name in swap.evict)
+        assert engine.free_bytes() + freed >= engine.size_bytes(swap.model)
+        assert swap.model not in engine.held
+
+
+def _adapters(
+    fleet: list[engines.Engine],
+    wanted: dict[str, int],
+    ordered: set[tuple[str, str, str]] | None = None,
+) -> list[adapters.Move]:
+    return adapters.plan(
+        service=world.SERVICE,
+        fleet=fleet,
+        needs={world.key("m1"): _need(waiting=1, adapters_wanted=wanted)},
+        ordered=ordered or set(),
+        now=_NOW,
+    )
+
+
+def _full_engine() -> engines.Engine:
+    engine = world.engine(models=("m1",))
+    engine.held["m1"].adapters = {f"a{n}": 0.0 for n in range(8)}
+    return engine
+
+
+def test_two_adapters_do_not_take_the_same_last_place() -> None:
+    """Guards against an engine with more adapters than it has places."""
+    engine = world.engine(models=("m1",))
+    engine.held["m1"].adapters = {f"a{n}": 0.0 for n in range(7)}
+    moves = _adapters([engine], {"a8": 1, "a9": 1})
+    assert len(moves) == 1
+
+
+def test_adapter_with_running_requests_does_not_yield() -> None:
+    """Guards against an engine that refuses orders until runs end."""
+    engine = _full_engine()
+    engine.use({("m1", f"a{n}"): 1 for n in range(7)}, _NOW)
+    (move,) = _adapters([engine], {"a9": 1})
+    assert move.evict == ("m1", "a7")
+
+
+def test_swapping_engine_gets_no_adapter() -> None:
+    """Guards against orders that an engine refuses while it loads."""
+    engine = world.engine(models=("m1",))
+    engine.swapping = True
+    assert not _adapters([engine], {"a9": 1})
+
+
+def test_full_engine_gets_one_adapter_at_a_time() -> None:
+    """Guards against one adapter that yields twice."""
+    engine = _full_engine()
+    assert not _adapters([engine], {"a9": 1}, {("t1", "m1", "a10")})
+
+
+def test_store_counts_starts_in_its_window() -> None:
+    """Guards against more loads in a window than the store allows."""
+    budget = weight_store.StoreBudget(window_s=5.0)
+    for number in range(22):
+        budget.start("t", f"m{number}", 0.0)
+    assert budget.may_start(loads_per_s=4.5, now=4.9) == 0
+    assert budget.may_start(loads_per_s=4.5, now=5.1) == 22
+
+
+def test_demand_forgets_silent_gateways_and_keeps_rates() -> None:
+    """Guards against loads for callers of a gateway that crashed."""
+    book = demand.DemandBook()
+    message = world.fleet.FleetDemand(
+        gateway="g",
+        needs=[
+            world.fleet.ModelNeed(
+                service=world.SERVICE, model="m1", waiting=2, arrived=6
+            )
+        ],
+    )
+    book.update(message, 0.0)
+    assert book.needs(0.0)[world.key("m1")].waiting == 2
+    book.expire(10.0)
+    need = book.needs(10.0)[world.key("m1")]
+    assert need.waiting == 0
+    assert 0 < need.rate < 1
+    assert math.isinf(need.timely_until)
