Keep serving through a drain, refuse hopeless waits, send registrations once

Requests that could not be in time were held until their callers left. Every member repeated every registration to every gateway (half of the bytes between zones). A retry after a refusal over quota came back into the same shortage.

Change: a draining gateway accepts until the end, says Connection: close and refuses new requests once the balancer had time to notice; a late request waits only for a load under way; gateways follow three members' registrations without the lists of copies; Retry-After over quota covers what was refused lately; without a holder a gateway spends its share only as half of a request's tokens come in.

--- a/src/monsoonhinge/fleet/feed.py
+++ b/src/monsoonhinge/fleet/feed.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import dataclasses
 
 from monsoonhinge.fleet import registry as target_registry
 from monsoonhinge.protocol import connection
@@ -26,14 +27,24 @@
         self.links: dict[connection.Connection, str] = {}
         self._registry = registry
         self._members = members
+        self._wants_all: set[connection.Connection] = set()
+        self._sent: dict[str, fleet.Registration] = {}
 
-    def watch(self, link: connection.Connection) -> None:
-        """Subscribes a gateway and sends it all registrations."""
+    def watch(
+        self, link: connection.Connection, *, placements_only: bool
+    ) -> None:
+        """Subscribes a gateway, or changes what it is sent."""
         self.links[link] = link.remote.node
-        self.send_all(link)
+        if placements_only:
+            self._wants_all.discard(link)
+            self._send(link, self._message([]))
+        else:
+            self._wants_all.add(link)
+            self.send_all(link)
 
     def discard(self, link: connection.Connection) -> str:
         """Ends a subscription; returns the gateway that had it, or ""."""
+        self._wants_all.discard(link)
         return self.links.pop(link, "")
 
     def send_all(self, link: connection.Connection) -> None:
@@ -49,9 +60,19 @@
         )
 
     def relay(self, changed: list[fleet.Registration]) -> None:
-        """Sends changed registrations to all gateways."""
-        if changed:
-            self.notify(self._message(changed))
+        """Sends to the gateways what they use of changed registrations."""
+        news = []
+        for registration in changed:
+            used = _used_by_gateways(registration)
+            if self._sent.get(registration.target) != used:
+                self._sent[registration.target] = used
+                news.append(
+                    dataclasses.replace(used, sequence=registration.sequence)
+                )
+        if news:
+            message = self._message(news)
+            for link in self._wants_all:
+                self._send(link, message)
 
     def notify(self, message: messages.Message) -> None:
         """Sends a message to all gateways."""
@@ -72,3 +93,15 @@
     ) -> None:
         with contextlib.suppress(errors.ConnectionLost):
             link.notify(message)
+
+
+def _used_by_gateways(registration: fleet.Registration) -> fleet.Registration:
+    """Returns a registration without what only placement needs."""
+    return dataclasses.replace(
+        registration,
+        sequence=0,
+        slow_for_ms=0,
+        remaining_ms=0,
+        in_memory=[],
+        on_disk=[],
+    )
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -41,7 +41,7 @@
 _LEADERLESS_S = 2.0
 
 # Share of the tolerance above the teams' rates that is granted.
-_GRANTED_SLACK = 0.5
+_GRANTED_SLACK = 0.75
 
 _PUBLISH_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.9
@@ -164,7 +164,7 @@
         now = asyncio.get_running_loop().time()
         match message:
             case fleet.WatchRegistry():
-                self.feed.watch(link)
+                self.feed.watch(link, placements_only=message.placements_only)
                 link.notify(self._announced)
                 if self.conductor is not None:
                     link.notify(self.conductor.snapshot(now))
--- a/src/monsoonhinge/ingress/callers.py
+++ b/src/monsoonhinge/ingress/callers.py
@@ -23,6 +23,8 @@
     Attributes:
         services: What requests share.
         closing: Whether callers should connect elsewhere.
+        refusing: Whether new requests are refused, since there is no time
+            left to run them.
         open: Requests without a final answer.
         all_ended: Set when there is none left.
     """
@@ -37,6 +39,7 @@
     ) -> None:
         self.services = services
         self.closing = False
+        self.refusing = False
         self.open = 0
         self.all_ended = asyncio.Event()
         self._dialect = services.dialect
@@ -65,6 +68,10 @@
         try:
             call = self._read(request)
             request_id = call.request_id
+            if self.refusing:
+                raise refusal.Refusal(
+                    refusal.Reason.STOPPING, retry_after_s=0.05, step="drain"
+                )
             admitted = self._admit(call)
             execution = admitted.route.execution
             limits = patience.limits(
@@ -145,7 +152,7 @@
             team, admitted.tokens, time_left_s=left_s
         )
         if charge is None:
-            retry_after_s = self._quota.retry_after_s(team.name)
+            retry_after_s = self._quota.refused(team, admitted.tokens)
             events.emit(
                 events.QUOTA,
                 request_id=running.call.request_id,
--- a/src/monsoonhinge/ingress/link.py
+++ b/src/monsoonhinge/ingress/link.py
@@ -14,6 +14,10 @@
 from monsoonhinge.runtime import settings
 
 _WATCH_TIMEOUT_S = 2.0
+
+# Members whose registrations a gateway follows; each of them knows all. One
+# may be cut off from the others without a sign, hence three.
+_FOLLOWED = 3
 _GRANT_TIMEOUT_S = 0.5
 
 # Demand that changes within this time is sent together.
@@ -48,6 +52,8 @@
         self._registered = registered
         self._placed = placed
         self._demand = demand
+        # Members whose registrations are followed.
+        self._followed: set[connection.Connection] = set()
         self._active: dict[connection.Connection, fleet.FleetActive] = {}
         self._sending: asyncio.TimerHandle | None = None
         self._watching: set[asyncio.Task[None]] = set()
@@ -60,9 +66,7 @@
             peer=link.peer,
             state="connected",
         )
-        task = asyncio.get_running_loop().create_task(self._subscribe_to(link))
-        self._watching.add(task)
-        task.add_done_callback(self._watching.discard)
+        self._watch_member(link)
 
     def disconnected(self, link: connection.Connection) -> None:
         """Forgets a member."""
@@ -73,6 +77,15 @@
             state="lost",
         )
         self._active.pop(link, None)
+        self._followed.discard(link)
+        others = [
+            peer.connection
+            for peer in self.peers.values()
+            if peer.connection is not None
+            and peer.connection not in self._followed
+        ]
+        if others and len(self._followed) < _FOLLOWED:
+            self._watch_member(others[0])
 
     async def handle(
         self, link: connection.Connection, message: messages.Message
@@ -151,10 +164,24 @@
             for name in set(self.peers) - set(names):
                 self.forget(name)
 
-    async def _subscribe_to(self, link: connection.Connection) -> None:
+    def _watch_member(self, link: connection.Connection) -> None:
+        follow = len(self._followed) < _FOLLOWED
+        if follow:
+            self._followed.add(link)
+        task = asyncio.get_running_loop().create_task(
+            self._subscribe_to(link, follow)
+        )
+        self._watching.add(task)
+        task.add_done_callback(self._watching.discard)
+
+    async def _subscribe_to(
+        self, link: connection.Connection, follow: bool
+    ) -> None:
         try:
             await link.request(
-                fleet.WatchRegistry(), messages.Ack, timeout=_WATCH_TIMEOUT_S
+                fleet.WatchRegistry(placements_only=not follow),
+                messages.Ack,
+                timeout=_WATCH_TIMEOUT_S,
             )
         except errors.MonsoonhingeError as error:
             _LOG.warning("cannot watch the registrations: %s", error)
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -43,6 +43,7 @@
 _MAX_HEADER_BYTES = 32 * 1024
 
 _DEFAULT_EXPECTED_S = 1.0
+_MIN_EXPECTED_S = 0.05
 
 
 class IngressProcess:
@@ -92,7 +93,6 @@
         self.callers: callers.Callers | None = None
         self._dialect = wire
         self._upstream: upstream.Upstream | None = None
-        self._servers: list[web.Server] = []
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -113,6 +113,7 @@
             ),
             demand_changed=self.link.demand_changed,
             wake_at=self._wake_at,
+            ready_at=self._ready_at,
             expected_s=self._expected_s,
         )
         self.callers = callers.Callers(
@@ -142,11 +143,11 @@
         end_at = loop.time() + self.config.stop_grace_s - _STOP_MARGIN_S
         loop.call_at(end_at - _LAST_START_S, self._refuse_waiting)
         await asyncio.sleep(notice_until - loop.time())
-        for server in self._servers:
-            server.pre_shutdown()
-        for site in list(self._runners[0].sites):
-            await site.stop()
+        # A balancer without enough other gateways keeps sending, so that new
+        # connections are accepted until the end and refused at once.
         served = self.callers
+        if served is not None:
+            served.refusing = True
         if served is not None and served.open:
             served.all_ended.clear()
             with contextlib.suppress(TimeoutError):
@@ -241,7 +242,7 @@
     def _refuse_waiting(self) -> None:
         self.waiting.refuse_all(
             refusal.Refusal(
-                refusal.Reason.NOT_IN_TIME, retry_after_s=0.05, step="drain"
+                refusal.Reason.STOPPING, retry_after_s=0.05, step="drain"
             )
         )
 
@@ -266,14 +267,17 @@
             ],
         )
 
+    def _ready_at(self, need: balance.Need) -> float | None:
+        return self.targets.ready_at(
+            service=need.service, model=need.model, adapter=need.adapter
+        )
+
     def _expected_s(self, need: balance.Need) -> float:
         now = asyncio.get_running_loop().time()
-        ready_at = [
-            target.ready_at[need.model]
-            for target in self.targets.of_service(need.service)
-            if need.model in target.ready_at
-        ]
-        return max(0.05, min(ready_at, default=now + _DEFAULT_EXPECTED_S) - now)
+        ready_at = self._ready_at(need)
+        if ready_at is None:
+            return _DEFAULT_EXPECTED_S
+        return max(_MIN_EXPECTED_S, ready_at - now)
 
     async def _listen(self, handler: Any, address: settings.Address) -> None:
         # The HTTP server logs excerpts of malformed requests, which may hold
@@ -294,8 +298,6 @@
         await runner.setup()
         await web.TCPSite(runner, address.host, address.port).start()
         self._runners.append(runner)
-        if address is self.config.callers:
-            self._servers.append(server)
 
     async def _readiness(self, request: web.BaseRequest) -> web.Response:
         reason = self.ready()
--- a/src/monsoonhinge/ingress/quota.py
+++ b/src/monsoonhinge/ingress/quota.py
@@ -21,28 +21,50 @@
 
 # Without an answer for this long, the own share is spent.
 _HOLDER_ABSENT_S = 0.25
-_SHARE = 0.6
+_SHARE = 0.5
 _SHARE_BURST_S = 1.0
 
+# Refused requests come back within about this time.
+_BACKLOG_S = 3.0
+
 
 @dataclasses.dataclass(slots=True)
 class Share:
-    """Own part of a team's rate while no holder answers."""
+    """Own part of a team's rate while no holder answers.
+
+    A request runs once half of its tokens have come in, so that even large
+    requests run, and all gateways together spend at most twice their shares.
+    """
 
     level: float = 0.0
     at: float = 0.0
 
     def take(self, tokens: int, *, rate: float, now: float) -> bool:
-        """Takes tokens; a large request may run into debt once."""
-        burst = rate * _SHARE_BURST_S
+        """Takes tokens; returns whether the request may run."""
+        burst = max(rate * _SHARE_BURST_S, 0.5 * tokens)
         self.level = min(burst, self.level + (now - self.at) * rate)
         self.at = now
-        if self.level < min(tokens, burst):
+        if self.level < 0.5 * tokens:
             return False
         self.level -= tokens
         return True
 
 
+@dataclasses.dataclass(slots=True)
+class Backlog:
+    """Tokens of refused requests, forgotten over a few seconds."""
+
+    tokens: float = 0.0
+    at: float = 0.0
+
+    def add(self, tokens: int, now: float) -> float:
+        """Adds a refused request; returns all that was refused lately."""
+        kept = max(0.0, 1.0 - (now - self.at) / _BACKLOG_S)
+        self.tokens = self.tokens * kept + tokens
+        self.at = now
+        return self.tokens
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     tokens: int
@@ -69,6 +91,7 @@
         self._send = send
         self._waiting: dict[str, list[_Waiter]] = {}
         self._shares: dict[str, Share] = {}
+        self._refused: dict[str, Backlog] = {}
         self._unanswered_since: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -112,10 +135,17 @@
         now = asyncio.get_running_loop().time()
         self.wallet.settle(charge, 0, now)
 
-    def retry_after_s(self, team: str) -> float:
-        """Returns when the team is likely to have tokens again."""
+    def refused(self, team: schema.Team, tokens: int) -> float:
+        """Notes a refused request; returns when a retry is of use, in seconds.
+
+        What was refused lately comes back as well, here and at the other
+        gateways, so that a retry has to wait until the rate covers it.
+        """
         now = asyncio.get_running_loop().time()
-        return self.wallet.account(team).retry_after_s(now)
+        backlog = self._refused.setdefault(team.name, Backlog())
+        ahead = backlog.add(tokens, now) * max(1, self.gateways)
+        base = self.wallet.account(team.name).retry_after_s(now)
+        return max(base, ahead / team.tokens_per_s)
 
     def tick(self) -> None:
         """Asks for what is needed and returns what is not; called often."""
@@ -133,9 +163,7 @@
         since = self._unanswered_since
         if since is None or now - since < _HOLDER_ABSENT_S:
             return False
-        share = self._shares.setdefault(
-            team.name, Share(level=float(team.tokens_per_s), at=now)
-        )
+        share = self._shares.setdefault(team.name, Share(at=since))
         rate = _SHARE * team.tokens_per_s / max(1, self.gateways)
         return share.take(tokens, rate=rate, now=now)
 
@@ -172,6 +200,7 @@
                 self._unanswered_since = asked_at
             return
         self._unanswered_since = None
+        self._shares.clear()
         short = grant.tokens < ask.wanted + ask.waiting
         account.replied(
             max(grant.retry_after_ms / 1000, _MIN_PAUSE_S) if short else 0.0,
--- a/src/monsoonhinge/ingress/refusal.py
+++ b/src/monsoonhinge/ingress/refusal.py
@@ -19,6 +19,7 @@
     NO_TARGET = "no_target"
     NOT_IN_TIME = "not_in_time"
     TARGETS_FULL = "targets_full"
+    STOPPING = "stopping"
     TIMEOUT = "timeout"
     ANSWER_LOST = "answer_lost"
 
@@ -34,6 +35,7 @@
     Reason.NO_TARGET: 503,
     Reason.NOT_IN_TIME: 503,
     Reason.TARGETS_FULL: 503,
+    Reason.STOPPING: 503,
     Reason.TIMEOUT: 504,
     Reason.ANSWER_LOST: 502,
 }
--- a/src/monsoonhinge/ingress/targets.py
+++ b/src/monsoonhinge/ingress/targets.py
@@ -152,6 +152,22 @@
             and target.registration.state in (READY, SILENT)
         ]
 
+    def ready_at(
+        self, *, service: str, model: str, adapter: str
+    ) -> float | None:
+        """Returns when a model that is loading should serve, or None.
+
+        A target that holds the model but not yet the adapter counts as well:
+        adapters load at once.
+        """
+        times = []
+        for target in self.of_service(service):
+            if model in target.ready_at:
+                times.append(target.ready_at[model])
+            elif adapter and model in target.models:
+                times.append(0.0)
+        return min(times, default=None)
+
     def _place(
         self, target: Target, placement: fleet.Placement, now: float | None
     ) -> None:
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -60,7 +60,13 @@
 
 @dataclasses.dataclass(slots=True)
 class WatchRegistry:
-    """Asks a control member for its registrations, now and as they change."""
+    """Asks a control member for what it knows, now and as it changes.
+
+    With ``placements_only`` it sends leases and placements, but none of the
+    registrations that other members send as well.
+    """
+
+    placements_only: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -354,6 +354,7 @@
 }
 
 struct WatchRegistry {
+  placementsOnly @0 :Bool;
 }
 
 struct Registrations {
