--- a/src/monsoonhinge/cli/__main__.py
+++ b/src/monsoonhinge/cli/__main__.py
@@ -8,6 +8,7 @@
 
 from monsoonhinge.cli import cluster
 from monsoonhinge.cli import configuration
+from monsoonhinge.cli import explain
 from monsoonhinge.cli import keys
 from monsoonhinge.cli import operations
 from monsoonhinge.cli import options
@@ -24,6 +25,7 @@
     | operations.Dump
     | operations.Drain
     | cluster.Member
+    | explain.Explain
 )
 
 
--- /dev/null
+++ b/src/monsoonhinge/cli/explain.py
@@ -0,0 +1,131 @@
+"""Command that shows the way of one request through the log files."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+from typing import Annotated, Any
+
+import cappa
+
+from monsoonhinge.cli import options
+from monsoonhinge.cli import outcome
+
+_CONTEXT = ("time", "node", "role", "event", "request_id")
+
+# Changes of belief that decide over requests, and how long before the end of
+# a request they are shown.
+_BELIEFS = frozenset(
+    {
+        "config_change",
+        "config_in_force",
+        "dependency",
+        "leader",
+        "lease",
+        "model_loaded",
+        "order",
+        "placement",
+        "target",
+    }
+)
+_BEFORE_S = 10.0
+
+
+@cappa.command(name="explain", help="Shows why a request ended as it did")
+@dataclasses.dataclass
+class Explain(options.Output):
+    """Prints the decision lines of a request in order.
+
+    Beside them it prints the changes of belief that concern the request's
+    model, target or gateway in the ten seconds before its end.
+    """
+
+    request_id: Annotated[
+        str, cappa.Arg(value_name="ID", help="X-Request-Id of the request")
+    ]
+    files: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(
+            value_name="FILE",
+            num_args=-1,
+            help="Log files of any processes; standard input without any",
+        ),
+    ] = dataclasses.field(default_factory=list)
+
+    async def run(self) -> None:
+        """Prints the lines."""
+        lines = sorted(_read(self.files), key=lambda line: float(line["time"]))
+        own = [
+            line for line in lines if line.get("request_id") == self.request_id
+        ]
+        if not own:
+            raise outcome.Failure(
+                outcome.EXIT_FAILED, [f"no line names {self.request_id}"]
+            )
+        shown = [line for line in lines if line in own or _concerns(line, own)]
+        outcome.show(
+            shown,
+            as_json=self.json,
+            text="\n".join(_text(line, own[0]) for line in shown),
+        )
+
+
+def _read(files: list[pathlib.Path]) -> list[dict[str, Any]]:
+    texts = []
+    for path in files:
+        try:
+            texts.append(path.read_text(errors="replace"))
+        except OSError as error:
+            raise outcome.Failure(
+                outcome.EXIT_FAILED, [f"{path}: {error.strerror}"]
+            ) from error
+    if not files:
+        texts.append(sys.stdin.read())
+    lines = []
+    for text in texts:
+        for raw in text.splitlines():
+            # A collector may put a prefix before the line.
+            start = raw.find("{")
+            try:
+                line = json.loads(raw[start:]) if start >= 0 else None
+            except ValueError:
+                continue
+            if isinstance(line, dict) and isinstance(
+                line.get("time"), int | float
+            ):
+                lines.append(line)
+    return lines
+
+
+def _concerns(line: dict[str, Any], own: list[dict[str, Any]]) -> bool:
+    if line.get("event") not in _BELIEFS:
+        return False
+    age_s = own[-1]["time"] - line["time"]
+    if not 0 <= age_s <= _BEFORE_S:
+        return False
+    models = {item["model"] for item in own if item.get("model")}
+    targets = {item["target"] for item in own if item.get("target")}
+    nodes = {item.get("node") for item in own}
+    if line.get("model"):
+        return line["model"] in models
+    if line.get("target"):
+        return line["target"] in targets
+    return line.get("node") in nodes or line["event"] in (
+        "config_change",
+        "leader",
+        "lease",
+    )
+
+
+def _text(line: dict[str, Any], first: dict[str, Any]) -> str:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in _CONTEXT and value not in ("", None)
+    )
+    mark = "*" if line.get("request_id") else " "
+    offset = line["time"] - first["time"]
+    return (
+        f"{mark}{offset:+9.3f} {line.get('node', '')} "
+        f"{line.get('event', '')} {fields}"
+    )
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -320,8 +320,7 @@
         need = self.needs.get(name)
         if need is None:
             return True
-        others = any(
-            other is not engine and other.serves(name, self.now)
-            for other in self.fleet
-        )
-        return others or not need.waiting
+        holders = sum(e.serves(name, self.now) for e in self.fleet)
+        if need.rate >= _BUSY_RATE:
+            return holders > self._wanted(need)
+        return holders > 1 or not need.waiting
