Load models of unreachable engines elsewhere; try of early refusals taken back

Cause: a request was sent nine times in 15 ms to a crashed engine that alone held its model, and no other engine loaded it until the engine counted as silent.

Change: gateways report targets that they cannot reach, and what these hold does not count; loads from the store are allowed while more engines are free than swaps need. Late requests wait again until their caller would leave.

--- a/src/monsoonhinge/fleet/conductor.py
+++ b/src/monsoonhinge/fleet/conductor.py
@@ -79,8 +79,10 @@
         """Begins what is due."""
         self._follow_registry(view, now)
         running = self.book.running()
+        unreachable = self.book.unreachable()
         for engine in self.engines.values():
             engine.use(running.get(engine.target, {}), now)
+            engine.unreachable = engine.target in unreachable
         needs = self.book.needs(now)
         for name, service in view.ingress_services.items():
             if service.engine is None:
--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -119,6 +119,14 @@
                     )
         return result
 
+    def unreachable(self) -> set[str]:
+        """Returns the targets that some gateway could not reach lately."""
+        return {
+            target
+            for message, _ in self._gateways.values()
+            for target in message.unreachable
+        }
+
     def running(self) -> dict[str, dict[Use, int]]:
         """Returns the running requests by target, model and adapter."""
         result: dict[str, dict[Use, int]] = {}
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -57,6 +57,8 @@
         limits: What it can hold.
         held: Models by name.
         accepted: Orders that it has accepted; None until a report came.
+        unreachable: Whether gateways cannot reach it; what it holds does not
+            count then.
         swapping: Whether a load or unload of a model is under way.
         retry_at: No order is given before this time.
         running: Requests of all gateways by model.
@@ -78,6 +80,7 @@
         self.held: dict[str, Held] = {}
         self.accepted: int | None = None
         self.swapping = False
+        self.unreachable = False
         self.retry_at = 0.0
         self.running: dict[str, int] = {}
         self.used_adapters: set[tuple[str, str]] = set()
@@ -227,7 +230,11 @@
     def serves(self, model: str, now: float) -> bool:
         """Returns whether a model is loaded or about to be."""
         held = self.held.get(model)
-        return held is not None and held.state in (LOADED, LOADING)
+        return (
+            held is not None
+            and held.state in (LOADED, LOADING)
+            and not self.unreachable
+        )
 
     def use(self, running: Mapping[tuple[str, str], int], now: float) -> None:
         """Takes the requests that run on each model and adapter."""
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -33,8 +33,9 @@
 _BUSY_SHARE = 0.4
 _BUSY_ADAPTER_SHARE = 0.55
 
-# Free engines beside which one may read a rarely used model from the store.
-_IDLE_ENGINES = 3
+# Time for which a swap from an engine's own disk takes the engine. Engines for
+# the rarely used models that are asked for stay free of loads from the store.
+_SWAP_S = 1.5
 
 # Adapter requests a second that make an engine worth keeping free of swaps.
 _ADAPTER_RATE = 0.3
@@ -115,6 +116,7 @@
             engine.target: engine
             for engine in fleet
             if not engine.swapping
+            and not engine.unreachable
             and engine.accepted is not None
             and now >= engine.retry_at
         }
@@ -285,7 +287,10 @@
         most = max(len(e.on_disk) for e in self.fleet)
         if 2 * len(engine.on_disk) <= most:
             return True
-        return self.store_loading == 0 and len(self.free) >= _IDLE_ENGINES
+        rare = sum(
+            item.rate for item in self.needs.values() if item.rate < _BUSY_RATE
+        )
+        return len(self.free) > max(1, math.ceil(rare * _SWAP_S))
 
     def _evictions(
         self, engine: engines.Engine, model: str
--- a/src/monsoonhinge/ingress/exchange.py
+++ b/src/monsoonhinge/ingress/exchange.py
@@ -130,6 +130,9 @@
                 answer = await self._send(target, sent_at)
             except forward.NotSent as error:
                 self._release(target)
+                now = self._loop.time()
+                target.unreachable_until = now + target_table.UNREACHABLE_S
+                self._services.wake_at(target.unreachable_until)
                 self._failed(target, "unreachable", error)
                 self._reject(error.peer)
                 continue
@@ -197,31 +200,14 @@
         services.waiting.add(waiter)
         services.demand_changed()
         try:
-            while True:
-                limit = self._wait_until(now, give_up_at)
-                if now >= limit:
-                    raise self._not_in_time()
-                await asyncio.wait([waiter.future], timeout=limit - now)
-                if waiter.future.done():
-                    return waiter.future.result()
-                now = self._loop.time()
+            async with asyncio.timeout_at(give_up_at):
+                return await waiter.future
+        except TimeoutError:
+            raise self._not_in_time() from None
         finally:
             services.waiting.remove(waiter)
             services.demand_changed()
 
-    def _wait_until(self, now: float, give_up_at: float) -> float:
-        """Returns until when to wait before deciding again.
-
-        A request that cannot be in time any more waits only for a load that
-        is under way: without one it would hold its caller for nothing.
-        """
-        if now < self.limits.timely_until:
-            return min(give_up_at, self.limits.timely_until)
-        ready_at = self._services.ready_at(self._need)
-        if not self._need.model or ready_at is None:
-            return give_up_at if not self._need.model else now
-        return give_up_at if ready_at < give_up_at else now
-
     async def _send(
         self, target: target_table.Target, now: float
     ) -> upstream.Answer:
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -113,7 +113,6 @@
             ),
             demand_changed=self.link.demand_changed,
             wake_at=self._wake_at,
-            ready_at=self._ready_at,
             expected_s=self._expected_s,
         )
         self.callers = callers.Callers(
@@ -265,16 +264,14 @@
                 for (model, adapter), running in target.running.items()
                 if model and running
             ],
-        )
-
-    def _ready_at(self, need: balance.Need) -> float | None:
-        return self.targets.ready_at(
-            service=need.service, model=need.model, adapter=need.adapter
+            unreachable=self.targets.unreachable(now),
         )
 
     def _expected_s(self, need: balance.Need) -> float:
         now = asyncio.get_running_loop().time()
-        ready_at = self._ready_at(need)
+        ready_at = self.targets.ready_at(
+            service=need.service, model=need.model, adapter=need.adapter
+        )
         if ready_at is None:
             return _DEFAULT_EXPECTED_S
         return max(_MIN_EXPECTED_S, ready_at - now)
--- a/src/monsoonhinge/ingress/shared.py
+++ b/src/monsoonhinge/ingress/shared.py
@@ -24,8 +24,6 @@
         still_valid: Whether a request that waited may still run.
         demand_changed: Called when requests begin or end to wait or to run.
         wake_at: Lets waiting requests try again at a time.
-        ready_at: When a target that loads a needed model is expected to serve
-            it; None if none does.
         expected_s: When a need is likely to be met, in seconds.
     """
 
@@ -37,5 +35,4 @@
     still_valid: Callable[[admission.Admitted], bool]
     demand_changed: Callable[[], None]
     wake_at: Callable[[float], None]
-    ready_at: Callable[[balance.Need], float | None]
     expected_s: Callable[[balance.Need], float]
--- a/src/monsoonhinge/ingress/targets.py
+++ b/src/monsoonhinge/ingress/targets.py
@@ -11,6 +11,9 @@
 # A target that denied holding a model is not asked for it for this long.
 DENIED_S = 0.08
 
+# A target that could not be reached is tried again after this time.
+UNREACHABLE_S = 1.0
+
 # Placements of a member that is not heard any more are used for this long.
 _PLACEMENTS_S = 6.0
 
@@ -31,6 +34,8 @@
         running: Requests of this gateway by model and adapter.
         answer_s: Smoothed time until its answers begin.
         denied: Until when models are taken as absent.
+        unreachable_until: Until when the target is taken as down, after a
+            connection to it failed.
     """
 
     registration: fleet.Registration
@@ -44,6 +49,7 @@
     denied: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    unreachable_until: float = 0.0
 
     @property
     def name(self) -> str:
@@ -69,6 +75,8 @@
         held = self.models.get(model)
         if held is None or (adapter and adapter not in held):
             return False
+        if now < self.unreachable_until:
+            return False
         return now >= self.denied.get((model, adapter), 0.0)
 
 
@@ -143,6 +151,14 @@
                 self._place(target, placement, now)
         return True
 
+    def unreachable(self, now: float) -> list[str]:
+        """Returns the targets to which connections failed lately."""
+        return [
+            name
+            for name, target in self.by_name.items()
+            if now < target.unreachable_until
+        ]
+
     def of_service(self, service: str) -> list[Target]:
         """Returns the targets of a service that take new work."""
         return [
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -133,11 +133,15 @@
 
 @dataclasses.dataclass(slots=True)
 class FleetDemand:
-    """Everything that one gateway needs and uses now."""
+    """Everything that one gateway needs and uses now.
+
+    ``unreachable`` names targets to which it could not connect lately.
+    """
 
     gateway: str = ""
     needs: list[ModelNeed] = dataclasses.field(default_factory=list)
     uses: list[TargetUse] = dataclasses.field(default_factory=list)
+    unreachable: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -389,6 +389,7 @@
   gateway @0 :Text;
   needs @1 :List(ModelNeed);
   uses @2 :List(TargetUse);
+  unreachable @3 :List(Text);
 }
 
 struct PlacedModel {
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -224,3 +224,25 @@
     assert need.waiting == 0
     assert 0 < need.rate < 1
     assert math.isinf(need.timely_until)
+
+
+def test_model_of_an_unreachable_engine_is_loaded_elsewhere() -> None:
+    """Guards against requests that wait for an engine that crashed."""
+    lost = world.engine("t1", models=("m1",), on_disk=("m1",))
+    lost.unreachable = True
+    other = world.engine("t2", models=("m2",), on_disk=("m1", "m2"))
+    (swap,) = _plan([lost, other], {"m1": _need(waiting=1)})
+    assert swap.target == "t2"
+
+
+def test_busy_model_does_not_yield_right_after_its_load() -> None:
+    """Guards against a busy model that is loaded and dropped in turn."""
+    fleet = [
+        world.engine("t1", models=("m1",), running={"m1": 3}),
+        world.engine("t2", models=("m1", "m2", "m3"), on_disk=("m9",)),
+    ]
+    swaps = _plan(
+        fleet,
+        {"m1": _need(rate=5.0, adapter_rate=1.0), "m9": _need(waiting=1)},
+    )
+    assert all("m1" not in swap.evict for swap in swaps)
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -241,6 +241,17 @@
     assert not target.holds("m", "a1", 1.0)
 
 
+def test_unreachable_target_holds_nothing_for_a_while() -> None:
+    """Guards against one request that is sent to a dead target nine times."""
+    table = targets.Targets()
+    table.register(_registered("a", models=[fleet.HeldModel(name="m")]))
+    target = table.by_name["a"]
+    target.unreachable_until = 1.0
+    assert not target.holds("m", "", 0.5)
+    assert table.unreachable(0.5) == ["a"]
+    assert target.holds("m", "", 1.5)
+
+
 def test_waiting_request_gets_a_target_once_the_model_is_there() -> None:
     """Guards against requests that wait beside a loaded model."""
 
