--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -357,3 +357,31 @@
             await until(lambda: made.configured(document, member=1))
 
     asyncio.run(run())
+
+
+def test_stopping_gateway_refuses_instead_of_cutting(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a request that is taken during a stop and then cut."""
+
+    async def run() -> None:
+        async with deployed(tmp_path) as made:
+            assert (await made.ask("r1"))[0] == 200
+            made.gateway.drain()
+            finishing = asyncio.create_task(made.gateway.finish())
+            status, headers, _ = await made.ask("r2")
+            assert status == 200
+            assert headers["Connection"] == "close"
+            served = made.gateway.callers
+            assert served is not None
+
+            async def refuses() -> bool:
+                return served.refusing
+
+            await until(refuses)
+            status, headers, _ = await made.ask("r3")
+            assert status == 503
+            assert "Retry-After" in headers
+            await finishing
+
+    asyncio.run(run())
