Log orders in one place and drop message parts that nothing uses

Measured: tests of fleet, ingress, platform, protocol and style pass; no change of behaviour is meant.

--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -142,29 +142,10 @@
                 timeout_s=_ORDER_TIMEOUT_S,
             )
         except dialect.Unanswered as error:
-            events.emit(
-                events.ORDER,
-                target=engine.target,
-                load=load,
-                model=model,
-                adapter=adapter,
-                fencing=self._fencing,
-                expected=expected,
-                outcome="unanswered",
-                error=str(error),
-            )
+            self._log(load, model, adapter, expected, f"unanswered: {error}")
             await asyncio.sleep(_BUSY_PAUSE_S)
             return None
-        events.emit(
-            events.ORDER,
-            target=engine.target,
-            load=load,
-            model=model,
-            adapter=adapter,
-            fencing=self._fencing,
-            expected=expected,
-            outcome=verdict.value,
-        )
+        self._log(load, model, adapter, expected, verdict.value)
         match verdict:
             case dialect.Verdict.STARTED:
                 engine.accepted = expected + 1
@@ -181,6 +162,20 @@
             case _:
                 return Outcome.REFUSED
 
+    def _log(
+        self, load: bool, model: str, adapter: str, expected: int, outcome: str
+    ) -> None:
+        events.emit(
+            events.ORDER,
+            target=self.engine.target,
+            load=load,
+            model=model,
+            adapter=adapter,
+            fencing=self._fencing,
+            expected=expected,
+            outcome=outcome,
+        )
+
     async def _resolve(
         self, load: bool, model: str, adapter: str, number: int
     ) -> Outcome | None:
--- a/src/monsoonhinge/fleet/registry.py
+++ b/src/monsoonhinge/fleet/registry.py
@@ -179,5 +179,4 @@
         sequence=0,
         slow_for_ms=int(registration.slow_for_ms > 0),
         remaining_ms=int(registration.remaining_ms > 0),
-        held_age_ms=0,
     )
--- a/src/monsoonhinge/platform/documents.py
+++ b/src/monsoonhinge/platform/documents.py
@@ -1,7 +1,6 @@
 """Configuration documents of the platform's operators."""
 
 from collections.abc import Iterable
-import json
 import math
 from typing import Annotated, Any, Literal
 
@@ -260,8 +259,3 @@
     detail: Any = error.errors(include_input=False, include_url=False)[0]
     field = ".".join(str(part) for part in detail["loc"])
     return f"{field}: {detail['msg']}" if field else str(detail["msg"])
-
-
-def version_of(data: bytes) -> int:
-    """Returns the version of a valid document."""
-    return int(json.loads(data)["version"])
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -7,9 +7,6 @@
 
 import dataclasses
 
-# Stands for a time that is not expected to come.
-NEVER_MS = -1
-
 
 @dataclasses.dataclass(slots=True)
 class HeldModel:
@@ -39,7 +36,6 @@
         models: Models that it holds.
         in_memory: Models of which it keeps a copy in host memory.
         on_disk: Models of which it keeps a copy on its disk.
-        held_age_ms: Age of the announcement when this message was sent.
     """
 
     target: str = ""
@@ -55,7 +51,6 @@
     models: list[HeldModel] = dataclasses.field(default_factory=list)
     in_memory: list[str] = dataclasses.field(default_factory=list)
     on_disk: list[str] = dataclasses.field(default_factory=list)
-    held_age_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -168,19 +163,9 @@
     models: list[PlacedModel] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(slots=True)
-class Outlook:
-    """When a model that waits for a place is expected to serve."""
-
-    service: str = ""
-    model: str = ""
-    ready_in_ms: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Placements:
-    """Changed placements; ``outlooks`` replaces all earlier ones."""
+    """Changed placements, and the number under which they were made."""
 
     fencing: int = 0
     placements: list[Placement] = dataclasses.field(default_factory=list)
-    outlooks: list[Outlook] = dataclasses.field(default_factory=list)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -350,7 +350,6 @@
   models @10 :List(HeldModel);
   inMemory @11 :List(Text);
   onDisk @12 :List(Text);
-  heldAgeMs @13 :Int64;
 }
 
 struct WatchRegistry {
@@ -406,16 +405,9 @@
   models @3 :List(PlacedModel);
 }
 
-struct Outlook {
-  service @0 :Text;
-  model @1 :Text;
-  readyInMs @2 :Int64;
-}
-
 struct Placements {
   fencing @0 :UInt64;
   placements @1 :List(Placement);
-  outlooks @2 :List(Outlook);
 }
 
 struct Envelope {
