--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -47,6 +47,8 @@
     Attributes:
         identity: How this process introduces itself.
         peers: Connections to the members by name.
+        attempt_timeout_s: How long one member may take to answer before
+            another one is asked.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         identity: connection.Identity,
         listener: Listener | None = None,
         rng: random.Random | None = None,
+        attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
     ) -> None:
         rng = rng or random.Random()
         names = [member.name for member in members]
@@ -69,6 +72,7 @@
             )
             for member in members
         }
+        self.attempt_timeout_s = attempt_timeout_s
         self._rng = rng
         self._listener = listener
         self._subscription = subscription.Subscription(members=names, rng=rng)
@@ -99,6 +103,10 @@
         del self.peers[name]
         self._spawn(peer.stop())
 
+    def follow(self, name: str) -> None:
+        """Asks a member first from now on, since it is known to lead."""
+        self._leader.follow(name)
+
     @property
     def view(self) -> config_view.View:
         """Configuration in effect in this process."""
@@ -184,7 +192,7 @@
         reply_type: type[_Reply],
         *,
         timeout: float,
-        attempt_timeout: float = ATTEMPT_TIMEOUT_S,
+        attempt_timeout: float | None = None,
     ) -> _Reply:
         """Sends an idempotent request to the leader until it is answered.
 
@@ -192,8 +200,8 @@
             message: The request.
             reply_type: Class of the reply.
             timeout: Seconds until it gives up.
-            attempt_timeout: Seconds that one member may take; a request that
-                waits at the leader needs more.
+            attempt_timeout: Seconds that one member may take, if not the
+                usual; a request that waits at the leader needs more.
 
         Raises:
             errors.RequestTimeout: No leader answered in time. The request may
@@ -205,6 +213,8 @@
         backoff = leader.Backoff(self._rng)
         step = type(message).__name__
         reason = "no member is connected"
+        if attempt_timeout is None:
+            attempt_timeout = self.attempt_timeout_s
         if isinstance(message, messages.AwaitCall):
             attempt_timeout += message.timeout_ms / 1000
         while (left := deadline - loop.time()) > 0:
--- a/src/monsoonhinge/control/leader.py
+++ b/src/monsoonhinge/control/leader.py
@@ -33,6 +33,11 @@
         self._guess = candidates[0]
         return self._guess
 
+    def follow(self, leader: str) -> None:
+        """Takes the leader from a source that knows it."""
+        if leader in self._members:
+            self._guess = leader
+
     def redirected(self, member: str, leader: str) -> bool:
         """Takes a redirect.
 
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -43,6 +43,10 @@
 # Share of the tolerance above the teams' rates that is granted.
 _GRANTED_SLACK = 0.75
 
+# A leader that does not answer is often frozen or cut off; another member
+# then leads within about a second.
+_ATTEMPT_TIMEOUT_S = 0.6
+
 _PUBLISH_TIMEOUT_S = 0.9
 _READ_TIMEOUT_S = 0.9
 
@@ -65,6 +69,7 @@
             members=seeding.with_members(config).members,
             identity=service.identity(config, "scheduler"),
             listener=self,
+            attempt_timeout_s=_ATTEMPT_TIMEOUT_S,
         )
         name = f"{config.node}/{self.identity.incarnation}"
         self.lease = keeper.Keeper(
@@ -371,6 +376,7 @@
             if leader:
                 self._leader_at = now
             if leader != self._leader:
+                self.control.follow(leader)
                 events.emit(
                     events.LEADER,
                     leader=leader,
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -118,6 +118,41 @@
     _run(scenario)
 
 
+def test_known_leader_is_asked_before_a_frozen_one() -> None:
+    """Guards against two seconds at a frozen leader after an election.
+
+    A member that knows the new leader kept on asking the one before.
+    """
+
+    async def scenario(
+        cluster: stub.Cluster, client: control_client.Client
+    ) -> None:
+        await client.read("leases", timeout=5)
+        cluster.members["a"].silent = True
+        cluster.leader = "b"
+        client.follow("b")
+        async with asyncio.timeout(control_client.ATTEMPT_TIMEOUT_S / 2):
+            await client.read("leases", timeout=5)
+
+    _run(scenario)
+
+
+def test_short_attempts_leave_a_frozen_leader() -> None:
+    """Guards against a lease that stays free while its taker waits."""
+
+    async def scenario(
+        cluster: stub.Cluster, client: control_client.Client
+    ) -> None:
+        await client.read("leases", timeout=5)
+        cluster.members["a"].silent = True
+        cluster.leader = "b"
+        client.attempt_timeout_s = 0.2
+        async with asyncio.timeout(control_client.ATTEMPT_TIMEOUT_S / 2):
+            await client.read("leases", timeout=5)
+
+    _run(scenario)
+
+
 def test_lost_reply_is_resent() -> None:
     """Guards against a change that is reported as failed or made twice."""
 
