Load a model without a copy while an engine is idle

Change: gateways say how long their most patient request waits. After the loads for waiting requests are planned, one load for a model without a copy begins if two engines are idle and a request waits longer than it takes.

--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -30,6 +30,7 @@
     Attributes:
         waiting: Requests that wait.
         timely_until: Until when the most urgent one can be answered in time.
+        patient_until: Until when the most patient one waits.
         priority: Lowest rank number of the waiting requests.
         adapters: Waiting requests by adapter.
         rate: Requests per second, smoothed.
@@ -38,6 +39,7 @@
 
     waiting: int = 0
     timely_until: float = math.inf
+    patient_until: float = -math.inf
     priority: int = 9
     adapters: dict[str, int] = dataclasses.field(default_factory=dict)
     rate: float = 0.0
@@ -113,6 +115,9 @@
                 need.timely_until = min(
                     need.timely_until, heard_at + item.timely_for_ms / 1000
                 )
+                need.patient_until = max(
+                    need.patient_until, heard_at + item.patient_for_ms / 1000
+                )
                 if item.adapter:
                     need.adapters[item.adapter] = (
                         need.adapters.get(item.adapter, 0) + item.waiting
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -44,6 +44,11 @@
 # engines: an engine that reads from the store for seconds serves no others.
 _STORE_SHARE = 0.4
 
+# Loads from the store at a time for models without a copy while others are
+# asked for, as a share of the engines, and idle engines that they need.
+_UNCOPIED_SHARE = 0.2
+_IDLE_ENGINES = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Swap:
@@ -91,6 +96,7 @@
     planner = _Planner(service, fleet, needs, store, now)
     planner.fill_empty()
     planner.serve_waiting()
+    planner.serve_uncopied()
     planner.spread_busy()
     return planner.swaps
 
@@ -124,6 +130,32 @@
         self.store_loading = store.loading
         self.swaps: list[Swap] = []
 
+    def serve_uncopied(self) -> None:
+        """Loads a model without a copy for requests that wait long enough.
+
+        It takes an engine that is idle now, and leaves another one for loads
+        from disk, which serve more requests in the same time.
+        """
+        limit = max(1, round(_UNCOPIED_SHARE * len(self.fleet)))
+        if self.store_loading >= limit or len(self.free) < _IDLE_ENGINES:
+            return
+        patient = [
+            (model, need)
+            for model, need in self.needs.items()
+            if need.waiting
+            and not any(e.serves(model, self.now) for e in self.fleet)
+            and need.patient_until - self.now >= self._shortest_load(model)
+            and not self._has_copy(model)
+        ]
+        patient.sort(
+            key=lambda item: (
+                -item[1].waiting * _RANK_FACTOR ** item[1].priority,
+                item[1].patient_until,
+            )
+        )
+        for model, need in patient[:1]:
+            self._load(model, need, "uncopied")
+
     def serve_waiting(self) -> None:
         """Loads what requests wait for, the most valuable first."""
         wanted = [
@@ -178,14 +210,26 @@
         that it cannot serve in time any more count little.
         """
         slack = need.timely_until - self.now
-        load_s = min(
-            (e.load_s(model) for e in self.fleet if e.knows(model)),
-            default=math.inf,
-        )
+        load_s = self._shortest_load(model)
         waiting = need.waiting * (1.0 if slack >= load_s else _LATE_SHARE)
         value = (waiting + need.rate * _HORIZON_S) * _RANK_FACTOR**need.priority
         return -value / load_s, slack
 
+    def _shortest_load(self, model: str) -> float:
+        return min(
+            (e.load_s(model) for e in self.fleet if e.knows(model)),
+            default=math.inf,
+        )
+
+    def _has_copy(self, model: str) -> bool:
+        return any(
+            not engine.from_store(model)
+            for engine in self.fleet
+            if engine.knows(model)
+            and not engine.unreachable
+            and engine.accepted is not None
+        )
+
     def _load(
         self,
         model: str,
@@ -198,7 +242,9 @@
             if not engine.knows(model) or model in engine.held:
                 continue
             from_store = engine.from_store(model)
-            if from_store and not self._may_use_store(engine, need):
+            if from_store and not self._may_use_store(
+                engine, need, uncopied=reason == "uncopied"
+            ):
                 continue
             evict = self._evictions(engine, model)
             if evict is None:
@@ -270,7 +316,9 @@
                 return True
         return False
 
-    def _may_use_store(self, engine: engines.Engine, need: demand.Need) -> bool:
+    def _may_use_store(
+        self, engine: engines.Engine, need: demand.Need, *, uncopied: bool
+    ) -> bool:
         """Returns whether an engine may read from the store for seconds.
 
         Meanwhile it could make several loads from its own disk, so that a
@@ -282,7 +330,7 @@
             return False
         if self._needed_for_adapters(engine):
             return False
-        if need.rate >= _BUSY_RATE:
+        if uncopied or need.rate >= _BUSY_RATE:
             return True
         most = max(len(e.on_disk) for e in self.fleet)
         if 2 * len(engine.on_disk) <= most:
--- a/src/monsoonhinge/ingress/exchange.py
+++ b/src/monsoonhinge/ingress/exchange.py
@@ -194,6 +194,7 @@
             priority=self.admitted.priority,
             timely_until=self.limits.timely_until,
             arrived_at=now,
+            gives_up_at=give_up_at,
             avoid=self._avoid,
             future=self._loop.create_future(),
         )
--- a/src/monsoonhinge/ingress/waiting.py
+++ b/src/monsoonhinge/ingress/waiting.py
@@ -22,6 +22,7 @@
         priority: Rank, 0 first.
         timely_until: Until when its answer may begin to be in time.
         arrived_at: When it came.
+        gives_up_at: Until when it waits.
         avoid: Targets that failed it.
         future: Gets the target.
     """
@@ -30,6 +31,7 @@
     priority: int
     timely_until: float
     arrived_at: float
+    gives_up_at: float
     avoid: set[str]
     future: asyncio.Future[target_table.Target]
 
@@ -110,11 +112,14 @@
                 ),
             )
             timely = min(waiter.timely_until for waiter in waiters) - now
+            patient = max(waiter.gives_up_at for waiter in waiters) - now
             priority = min(waiter.priority for waiter in waiters)
             if item.waiting:
                 timely = min(timely, item.timely_for_ms / 1000)
+                patient = max(patient, item.patient_for_ms / 1000)
                 priority = min(priority, item.priority)
             item.waiting += len(waiters)
             item.timely_for_ms = math.floor(timely * 1000)
+            item.patient_for_ms = math.floor(patient * 1000)
             item.priority = priority
         return list(items.values())
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -105,6 +105,7 @@
         timely_for_ms: How long the most urgent waiting request can still be
             answered in time; negative once that has passed.
         priority: Lowest rank number of the waiting requests.
+        patient_for_ms: How long the most patient waiting request still waits.
     """
 
     service: str = ""
@@ -114,6 +115,7 @@
     arrived: int = 0
     timely_for_ms: int = 0
     priority: int = 0
+    patient_for_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -375,6 +375,7 @@
   arrived @4 :Int64;
   timelyForMs @5 :Int64;
   priority @6 :Int64;
+  patientForMs @7 :Int64;
 }
 
 struct TargetUse {
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -21,12 +21,14 @@
     waiting: int = 0,
     rate: float = 0.0,
     slack_s: float = 3.0,
+    patience_s: float = 3.0,
     adapter_rate: float = 0.0,
     adapters_wanted: dict[str, int] | None = None,
 ) -> demand.Need:
     return demand.Need(
         waiting=waiting,
         timely_until=_NOW + slack_s,
+        patient_until=_NOW + patience_s,
         priority=1,
         adapters=adapters_wanted or {},
         rate=rate,
@@ -246,3 +248,39 @@
         {"m1": _need(rate=5.0, adapter_rate=1.0), "m9": _need(waiting=1)},
     )
     assert all("m1" not in swap.evict for swap in swaps)
+
+
+def test_idle_engine_loads_a_model_without_a_copy() -> None:
+    """Guards against rare models that only the store holds and nobody loads.
+
+    Engines were kept free for loads from disk that might be needed, and a
+    request that waited 15 s for such a model was refused at the end.
+    """
+    copies = tuple(f"m{number}" for number in range(4, 12))
+    fleet = [
+        world.engine(f"t{number}", models=("m1", "m2", "m3"), on_disk=copies)
+        for number in range(3)
+    ]
+    rare = {name: _need(rate=0.3) for name in copies}
+    patient = _need(waiting=1, patience_s=12.0)
+    (swap,) = _plan(fleet, rare | {"m15": patient})
+    assert (swap.model, swap.from_store) == ("m15", True)
+    # A request that leaves before the load ends gains nothing by it.
+    assert not _plan(fleet, rare | {"m15": _need(waiting=1, patience_s=2.0)})
+
+
+def test_load_from_the_store_leaves_an_engine_for_the_disks() -> None:
+    """Guards against engines that read from the store while disks could serve.
+
+    Two of three engines read from the store for seconds each, and requests
+    for models with copies waited behind them.
+    """
+    copies = tuple(f"m{number}" for number in range(4, 12))
+    fleet = [
+        world.engine(f"t{number}", models=("m1", "m2", "m3"), on_disk=copies)
+        for number in range(2)
+    ]
+    needs = {"m4": _need(waiting=1), "m15": _need(waiting=1, patience_s=12.0)}
+    rare = {name: _need(rate=0.3) for name in copies[1:]}
+    swaps = _plan(fleet, rare | needs)
+    assert [swap.model for swap in swaps] == ["m4"]
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -264,6 +264,7 @@
             priority=1,
             timely_until=2.0,
             arrived_at=0.0,
+            gives_up_at=4.0,
             avoid=set(),
             future=asyncio.get_running_loop().create_future(),
         )
@@ -272,6 +273,7 @@
         room.wake(0.0)
         (item,) = room.needs(1.0)
         assert (item.waiting, item.arrived, item.timely_for_ms) == (1, 1, 1000)
+        assert item.patient_for_ms == 3000
         balancer.targets.by_name["a"].models["m"] = set()
         room.wake(0.1)
         assert room.count() == 0
