Hold a team's tokens only for requests that can run

Cause: a request was charged when it came and kept its tokens while its model was loaded. Ruled out: grants that lie unused at gateways (a test with six gateways under six times the rate spends all of it).

Change: a ticket gives the tokens back when the request has to wait for a target and takes them again, first in line, once there is one. The line of a request tells its tokens. Retry-After after a wait follows the nearest copy of the model: host memory, disk or the weight store.

--- a/src/monsoonhinge/ingress/admission.py
+++ b/src/monsoonhinge/ingress/admission.py
@@ -6,6 +6,7 @@
 from monsoonhinge.config import ingress as objects
 from monsoonhinge.config import schema
 from monsoonhinge.config import view as config_view
+from monsoonhinge.ingress import balance
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import refusal
 
@@ -39,6 +40,17 @@
             self.route.execution == "streaming" and self.route.resumable
         )
 
+    def need(self, call: dialect.Call) -> balance.Need:
+        """Returns what a target must hold to run the request."""
+        if self.service.engine is None or not call.model:
+            return balance.Need(service=self.service.name)
+        return balance.Need(
+            service=self.service.name,
+            model=call.model,
+            adapter=call.adapter,
+            session=call.prompt[-1].part_id if call.prompt else "",
+        )
+
 
 class Admission:
     """Checks route, key and freshness of the configuration.
--- a/src/monsoonhinge/ingress/callers.py
+++ b/src/monsoonhinge/ingress/callers.py
@@ -4,7 +4,6 @@
 
 from aiohttp import web
 
-from monsoonhinge.gateway import wallet
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import exchange
@@ -13,7 +12,9 @@
 from monsoonhinge.ingress import patience
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import refusal
+from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import shared
+from monsoonhinge.ingress import ticket
 from monsoonhinge.runtime import events
 
 
@@ -85,13 +86,19 @@
                 call=call,
                 admitted=admitted,
                 limits=limits,
+                charged=ticket.Ticket(
+                    tokens=self._quota,
+                    admitted=admitted,
+                    request_id=request_id,
+                    deadline=limits.deadline,
+                ),
             )
             response = await self._charged(running)
         except refusal.Refusal as error:
             response = self._refuse(request_id, error)
             if not request.content.at_eof():
                 response.force_close()
-        except exchange.BrokenOff as error:
+        except relay.BrokenOff as error:
             self._log_end(request_id, running, "broken_off", execution)
             if request.transport is not None:
                 request.transport.abort()
@@ -135,39 +142,12 @@
         return b"".join(parts)
 
     async def _charged(self, running: exchange.Exchange) -> web.StreamResponse:
-        charge = await self._charge(running)
         try:
+            await running.ticket.take()
             return await running.run()
         finally:
-            if charge is not None and not running.ran:
-                self._quota.refund(charge)
-
-    async def _charge(self, running: exchange.Exchange) -> wallet.Charge | None:
-        admitted = running.admitted
-        team = admitted.team
-        if team is None or team.unlimited or not admitted.tokens:
-            return None
-        left_s = running.limits.deadline - asyncio.get_running_loop().time()
-        charge = await self._quota.charge(
-            team, admitted.tokens, time_left_s=left_s
-        )
-        if charge is None:
-            retry_after_s = self._quota.refused(team, admitted.tokens)
-            events.emit(
-                events.QUOTA,
-                request_id=running.call.request_id,
-                team=team.name,
-                tokens=admitted.tokens,
-                rate=team.tokens_per_s,
-                retry_after_s=round(retry_after_s, 3),
-                outcome="refused",
-            )
-            raise refusal.Refusal(
-                refusal.Reason.OVER_QUOTA,
-                retry_after_s=retry_after_s,
-                step="charge",
-            )
-        return charge
+            if not running.ran:
+                running.ticket.give_back()
 
     def _refuse(self, request_id: str, error: refusal.Refusal) -> web.Response:
         events.emit(
@@ -216,6 +196,7 @@
             team=running.admitted.team.name if running.admitted.team else "",
             model=running.call.model,
             adapter=running.call.adapter,
+            tokens=running.admitted.tokens,
             attempts=running.ran,
             rejected=running.rejected,
             first_byte_s=first_s,
--- a/src/monsoonhinge/ingress/exchange.py
+++ b/src/monsoonhinge/ingress/exchange.py
@@ -7,13 +7,14 @@
 
 from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import admission
-from monsoonhinge.ingress import balance
 from monsoonhinge.ingress import dialect
+from monsoonhinge.ingress import outlook
 from monsoonhinge.ingress import patience
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import shared
 from monsoonhinge.ingress import targets as target_table
+from monsoonhinge.ingress import ticket
 from monsoonhinge.ingress import upstream
 from monsoonhinge.ingress import waiting
 from monsoonhinge.runtime import events
@@ -39,6 +40,7 @@
         call: The request.
         admitted: Route, team and service.
         limits: Until when it may wait, run and be on time.
+        ticket: Tokens that it is charged.
         ran: Attempts that a target may have run.
         rejected: Attempts that a target turned away.
         relay: The answer to the caller.
@@ -53,10 +55,12 @@
         call: dialect.Call,
         admitted: admission.Admitted,
         limits: patience.Limits,
+        charged: ticket.Ticket,
     ) -> None:
         self.call = call
         self.admitted = admitted
         self.limits = limits
+        self.ticket = charged
         self.ran = 0
         self.rejected = 0
         self.relay = relay.Relay(
@@ -68,20 +72,14 @@
         self._services = services
         self._avoid: set[str] = set()
         self._loop = asyncio.get_running_loop()
-        model = call.model if admitted.service.engine is not None else ""
-        self._need = balance.Need(
-            service=admitted.service.name,
-            model=model,
-            adapter=call.adapter if model else "",
-            session=call.prompt[-1].part_id if model and call.prompt else "",
-        )
+        self._need = admitted.need(call)
 
     async def run(self) -> web.StreamResponse:
         """Returns the response once it is complete.
 
         Raises:
             refusal.Refusal: No target answered, and nothing was sent.
-            BrokenOff: The answer broke off after a part of it was sent.
+            relay.BrokenOff: The answer broke off after a part of it was sent.
         """
         services = self._services
         services.retries.request(self._need.service, self._loop.time())
@@ -91,7 +89,7 @@
                 sent = await self._attempt()
             except refusal.Refusal as error:
                 if self.relay.response is not None:
-                    raise BrokenOff from error
+                    raise relay.BrokenOff from error
                 raise (error.after_run() if self.ran else error) from error
             try:
                 response = await self._relay(sent)
@@ -99,7 +97,7 @@
                 self._failed(sent.target, "broke_off", error)
                 if not self._may_repeat():
                     if self.relay.response is not None:
-                        raise BrokenOff from error
+                        raise relay.BrokenOff from error
                     raise self._lost(error) from error
                 events.emit(
                     events.RESUMED,
@@ -179,13 +177,22 @@
                     self._reject(answer.peer)
 
     async def _target(self) -> target_table.Target:
+        """Returns a target for which tokens are held."""
+        while True:
+            target = self._services.balancer.choose(
+                self._need, avoid=self._avoid, now=self._loop.time()
+            )
+            if target is None:
+                if not self.ran:
+                    self.ticket.give_back()
+                target = await self._wait_for_target()
+            if self.ticket.held:
+                return target
+            await self.ticket.take()
+
+    async def _wait_for_target(self) -> target_table.Target:
         services = self._services
         now = self._loop.time()
-        target = services.balancer.choose(
-            self._need, avoid=self._avoid, now=now
-        )
-        if target is not None:
-            return target
         give_up_at = self.limits.give_up_at
         if now >= give_up_at:
             raise self._not_in_time()
@@ -358,11 +365,11 @@
         return refusal.Refusal(reason, step=error.step, peer=error.peer)
 
     def _not_in_time(self) -> refusal.Refusal:
-        known = self._services.balancer.targets.of_service(self._need.service)
-        return refusal.Refusal(
-            refusal.Reason.NOT_IN_TIME if known else refusal.Reason.NO_TARGET,
-            retry_after_s=self._services.expected_s(self._need),
-            step="wait",
+        return outlook.not_in_time(
+            self._need,
+            engine=self.admitted.service.engine,
+            targets=self._services.balancer.targets,
+            now=self._loop.time(),
         )
 
     def _log_attempt(
@@ -386,7 +393,3 @@
             status=status,
             outcome=outcome,
         )
-
-
-class BrokenOff(Exception):
-    """An answer broke off after a part of it was sent."""
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -42,9 +42,6 @@
 _IDLE_TIMEOUT_S = 75.0
 _MAX_HEADER_BYTES = 32 * 1024
 
-_DEFAULT_EXPECTED_S = 1.0
-_MIN_EXPECTED_S = 0.05
-
 
 class IngressProcess:
     """Serves callers whose requests are recognised by host and path."""
@@ -113,7 +110,6 @@
             ),
             demand_changed=self.link.demand_changed,
             wake_at=self._wake_at,
-            expected_s=self._expected_s,
         )
         self.callers = callers.Callers(
             services=services,
@@ -267,15 +263,6 @@
             unreachable=self.targets.unreachable(now),
         )
 
-    def _expected_s(self, need: balance.Need) -> float:
-        now = asyncio.get_running_loop().time()
-        ready_at = self.targets.ready_at(
-            service=need.service, model=need.model, adapter=need.adapter
-        )
-        if ready_at is None:
-            return _DEFAULT_EXPECTED_S
-        return max(_MIN_EXPECTED_S, ready_at - now)
-
     async def _listen(self, handler: Any, address: settings.Address) -> None:
         # The HTTP server logs excerpts of malformed requests, which may hold
         # a key; its logger is switched off.
--- a/src/monsoonhinge/ingress/quota.py
+++ b/src/monsoonhinge/ingress/quota.py
@@ -15,7 +15,7 @@
 from monsoonhinge.runtime import errors
 
 # A request waits this long for tokens before it is refused.
-_MAX_WAIT_S = 0.4
+MAX_WAIT_S = 0.4
 _PAUSE_S = 0.1
 _MIN_PAUSE_S = 0.02
 
@@ -96,9 +96,21 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def charge(
-        self, team: schema.Team, tokens: int, *, time_left_s: float
+        self,
+        team: schema.Team,
+        tokens: int,
+        *,
+        time_left_s: float,
+        wait_s: float = MAX_WAIT_S,
     ) -> wallet.Charge | None:
-        """Takes tokens for a request; None if the team has none left."""
+        """Takes tokens for a request; None if the team has none left.
+
+        Args:
+            team: Team of the request.
+            tokens: What it is charged.
+            time_left_s: Seconds until it must be answered.
+            wait_s: Longest wait for tokens.
+        """
         loop = asyncio.get_running_loop()
         now = loop.time()
         waiting = self._waiting.setdefault(team.name, [])
@@ -113,8 +125,7 @@
         waiter = _Waiter(tokens, loop.create_future())
         waiting.append(waiter)
         self._ask(team.name)
-        wait_s = min(_MAX_WAIT_S, time_left_s / 4)
-        deadline = now + wait_s
+        deadline = now + min(wait_s, time_left_s / 4)
         try:
             while (left := deadline - loop.time()) > 0:
                 pause = min(left, _HOLDER_ABSENT_S)
--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -121,3 +121,7 @@
 
 def _position(event_id: str) -> int:
     return int(event_id) if event_id.isdecimal() else -1
+
+
+class BrokenOff(Exception):
+    """An answer broke off after a part of it was sent."""
--- a/src/monsoonhinge/ingress/shared.py
+++ b/src/monsoonhinge/ingress/shared.py
@@ -24,7 +24,6 @@
         still_valid: Whether a request that waited may still run.
         demand_changed: Called when requests begin or end to wait or to run.
         wake_at: Lets waiting requests try again at a time.
-        expected_s: When a need is likely to be met, in seconds.
     """
 
     dialect: dialect.Dialect
@@ -35,4 +34,3 @@
     still_valid: Callable[[admission.Admitted], bool]
     demand_changed: Callable[[], None]
     wake_at: Callable[[float], None]
-    expected_s: Callable[[balance.Need], float]
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -14,6 +14,7 @@
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import balance
 from monsoonhinge.ingress import dialect
+from monsoonhinge.ingress import outlook
 from monsoonhinge.ingress import patience
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import refusal
@@ -282,6 +283,53 @@
     assert asyncio.run(run()) == "a"
 
 
+_ENGINE = objects.IngressEngine(
+    slots=8,
+    kv_tokens=1000,
+    weights_bytes=1000,
+    adapter_capacity=8,
+    loads_per_s=4.0,
+    models=[
+        objects.EngineModel(
+            name="m",
+            weights_bytes=100,
+            load_s=6.0,
+            disk_load_s=1.0,
+            warm_load_s=0.5,
+        )
+    ],
+)
+
+
+@pytest.mark.parametrize(
+    ("on_disk", "in_memory", "expected_s"),
+    [([], [], 6.0), (["m"], [], 1.0), (["m"], ["m"], 0.5)],
+)
+def test_retry_after_follows_the_nearest_copy(
+    on_disk: list[str], in_memory: list[str], expected_s: float
+) -> None:
+    """Guards against callers told to come back long before a load can end."""
+    known = targets.Targets()
+    known.register(
+        fleet.Registration(
+            target="a",
+            incarnation=1,
+            service="s",
+            state="ready",
+            on_disk=on_disk,
+            in_memory=in_memory,
+        )
+    )
+    need = balance.Need("s", model="m")
+
+    def earliest_s() -> float:
+        return outlook.earliest_s(need, engine=_ENGINE, targets=known, now=0.0)
+
+    assert earliest_s() == expected_s
+    known.by_name["a"].ready_at["m"] = 0.3
+    assert earliest_s() == 0.3
+
+
 def test_retry_budget_holds_over_all_gateways() -> None:
     """Guards against a storm of repeats when every gateway retries."""
     gateways = [
--- /dev/null
+++ b/tests/ingress/test_quota.py
@@ -0,0 +1,128 @@
+"""Tests of the token rates over several gateways and their holder."""
+
+import asyncio
+import random
+
+from monsoonhinge.config import ingress as objects
+from monsoonhinge.config import schema
+from monsoonhinge.ingress import admission
+from monsoonhinge.ingress import quota
+from monsoonhinge.ingress import ticket
+from monsoonhinge.protocol import messages
+from monsoonhinge.scheduler import budget
+
+_RATE = 10_000.0
+_BURST = 10_000
+_GATEWAYS = 6
+_DURATION_S = 4.0
+_REQUEST_TOKENS = (200, 900, 1500, 4000)
+
+
+class _Holder:
+    """Grants tokens without a log behind it."""
+
+    def __init__(self) -> None:
+        self.budget = budget.Budget(shard="s", fencing=1, prefetch_s=0.0)
+        self.budget.configure({"t": TEAM}, asyncio.get_running_loop().time())
+
+    async def grant(self, request: messages.GrantRequest) -> messages.Grant:
+        now = asyncio.get_running_loop().time()
+        checkpoint = self.budget.checkpoint_needed(request, now)
+        if checkpoint is not None:
+            self.budget.committed(checkpoint)
+        await asyncio.sleep(0.002)
+        return self.budget.grant(request, now)
+
+
+TEAM = schema.Team(name="t", tokens_per_s=_RATE, burst_tokens=_BURST)
+
+
+def test_team_over_its_rate_still_gets_its_rate() -> None:
+    """Guards against tokens that lie unused while requests are refused."""
+    rng = random.Random(5)
+
+    async def run() -> tuple[int, int]:
+        loop = asyncio.get_running_loop()
+        holder = _Holder()
+        gateways = [
+            quota.Quota(gateway=f"g{number}", send=holder.grant)
+            for number in range(_GATEWAYS)
+        ]
+        started_at = loop.time()
+        ran = refused = 0
+
+        async def one(gateway: quota.Quota, tokens: int) -> None:
+            nonlocal ran, refused
+            charge = await gateway.charge(TEAM, tokens, time_left_s=8.0)
+            if charge is None:
+                refused += tokens
+            else:
+                ran += tokens
+
+        async with asyncio.TaskGroup() as group:
+            while loop.time() - started_at < _DURATION_S:
+                gateway = rng.choice(gateways)
+                tokens = rng.choice(_REQUEST_TOKENS)
+                group.create_task(one(gateway, tokens))
+                gateway.tick()
+                # Six times the rate over all gateways.
+                await asyncio.sleep(tokens / _RATE / 6)
+        for gateway in gateways:
+            await gateway.stop()
+        return ran, refused
+
+    ran, refused = asyncio.run(run())
+    # The last requests wait for tokens after the load has ended.
+    allowed = _BURST + _RATE * (_DURATION_S + quota.MAX_WAIT_S)
+    assert refused > allowed
+    assert 0.85 * allowed <= ran <= allowed
+
+
+def _ticket(gateway: quota.Quota, tokens: int) -> ticket.Ticket:
+    admitted = admission.Admitted(
+        route=objects.IngressRoute(
+            name="r",
+            host="h",
+            path_prefix="/",
+            execution="idempotent",
+            backends=[objects.IngressBackend(service="s")],
+            timeout_ms=10_000,
+        ),
+        service=objects.IngressService(name="s"),
+        team=TEAM,
+        key_hash="k",
+        priority=1,
+        tokens=tokens,
+        version=1,
+    )
+    return ticket.Ticket(
+        tokens=gateway,
+        admitted=admitted,
+        request_id="r",
+        deadline=asyncio.get_running_loop().time() + 10.0,
+    )
+
+
+def test_request_that_waits_for_a_model_holds_no_tokens() -> None:
+    """Guards against a team's tokens that lie with requests for rare models.
+
+    A third of the rate of a busy team was charged to requests that waited
+    for seconds, while others that could run at once were refused.
+    """
+
+    async def run() -> None:
+        holder = _Holder()
+        gateway = quota.Quota(gateway="g", send=holder.grant)
+        waiting = _ticket(gateway, _BURST)
+        await waiting.take()
+        assert waiting.held
+        waiting.give_back()
+        running = _ticket(gateway, _BURST // 2)
+        await running.take()
+        assert running.held
+        # The one that waited gets its tokens once the rate has earned them.
+        await waiting.take()
+        assert waiting.held
+        await gateway.stop()
+
+    asyncio.run(run())
