Let requests wait for the first configuration of a starting gateway

Connections to members that were still starting were tried again after up to a second.

One that was in touch and lost its members still refuses at once. Lost connections are tried again after at most 0.4 s.

--- a/src/monsoonhinge/ingress/callers.py
+++ b/src/monsoonhinge/ingress/callers.py
@@ -14,6 +14,7 @@
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import shared
+from monsoonhinge.ingress import startup
 from monsoonhinge.ingress import ticket
 from monsoonhinge.runtime import events
 
@@ -28,6 +29,7 @@
             left to run them.
         open: Requests without a final answer.
         all_ended: Set when there is none left.
+        startup: Lets requests wait for the first configuration.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self.refusing = False
         self.open = 0
         self.all_ended = asyncio.Event()
+        self.startup = startup.Startup()
         self._dialect = services.dialect
         self._link = fleet_link
         self._admission = gate
@@ -73,7 +76,7 @@
                 raise refusal.Refusal(
                     refusal.Reason.STOPPING, retry_after_s=0.05, step="drain"
                 )
-            admitted = self._admit(call)
+            admitted = await self._admit(call, arrived_at)
             execution = admitted.route.execution
             limits = patience.limits(
                 admitted.route, time_left_ms=call.time_left_ms, now=arrived_at
@@ -119,7 +122,18 @@
                 refusal.Reason.MALFORMED, step=str(error)
             ) from error
 
-    def _admit(self, call: dialect.Call) -> admission.Admitted:
+    async def _admit(
+        self, call: dialect.Call, arrived_at: float
+    ) -> admission.Admitted:
+        try:
+            return self._try_to_admit(call)
+        except refusal.Refusal as error:
+            await self.startup.wait(
+                error, time_left_ms=call.time_left_ms, arrived_at=arrived_at
+            )
+        return self._try_to_admit(call)
+
+    def _try_to_admit(self, call: dialect.Call) -> admission.Admitted:
         return self._admission.admit(
             call,
             view=self._link.view,
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -263,6 +263,16 @@
             unreachable=self.targets.unreachable(now),
         )
 
+    def _end_startup(self) -> None:
+        """Lets waiting requests in once the configuration is confirmed."""
+        now = asyncio.get_running_loop().time()
+        if (
+            self.callers is not None
+            and self.link.view.version
+            and self.link.staleness(now) <= self.config.max_staleness_s
+        ):
+            self.callers.startup.finish()
+
     async def _listen(self, handler: Any, address: settings.Address) -> None:
         # The HTTP server logs excerpts of malformed requests, which may hold
         # a key; its logger is switched off.
@@ -295,5 +305,6 @@
             await asyncio.sleep(_TICK_S)
             self.quota.tick()
             self._wake()
+            self._end_startup()
             metrics.WAITING.set(self.waiting.count())
             metrics.STALENESS_SECONDS.set(self.link.staleness(loop.time()))
--- a/src/monsoonhinge/protocol/endpoint.py
+++ b/src/monsoonhinge/protocol/endpoint.py
@@ -10,7 +10,7 @@
 from monsoonhinge.runtime import errors
 
 _RECONNECT_MIN_S = 0.05
-_RECONNECT_MAX_S = 1.0
+_RECONNECT_MAX_S = 0.4
 
 _LOG = logging.getLogger(__name__)
 
