Give scripts/measure a usage text and refuse names that measure nothing

Cause: `scripts/measure replay` and `policies` ran a module without a program, printed nothing and exited with 0; an unknown name gave the interpreter's own error, and there was no list of the measurements.

Change: one entry point knows the measurements, lists them and exits with 2 on any other name.

--- /dev/null
+++ b/src/monsoonhinge/bench/measure.py
@@ -0,0 +1,51 @@
+"""Entry point of ``scripts/measure``: runs one measurement by name."""
+
+import runpy
+import sys
+
+from monsoonhinge.runtime import service
+
+MEASUREMENTS = {
+    "commits": "commits per second and failover time of the control members",
+    "gateway": "latency, throughput and memory that a gateway adds",
+    "policy": "the placement policy against simple ones on recorded demand",
+    "routing": "routing by load and prefix against simple choices",
+    "slopes": "cost of a request, an announcement and a subscriber",
+}
+
+
+def usage() -> str:
+    """Returns what can be measured, one line for each."""
+    width = max(len(name) for name in MEASUREMENTS)
+    lines = [
+        f"  {name:<{width}}  {text}" for name, text in MEASUREMENTS.items()
+    ]
+    return "\n".join(
+        [
+            "usage: scripts/measure NAME [ARGUMENTS]",
+            "",
+            *lines,
+            "",
+            "scripts/measure NAME --help lists the arguments of one.",
+        ]
+    )
+
+
+def main() -> None:
+    """Runs the measurement named by the first argument."""
+    arguments = sys.argv[1:]
+    name = arguments[0] if arguments else ""
+    if name in ("-h", "--help"):
+        print(usage())
+        return
+    if name not in MEASUREMENTS:
+        if name:
+            print(f"unknown measurement {name!r}", file=sys.stderr)
+        print(usage(), file=sys.stderr)
+        sys.exit(service.EXIT_BAD_SETTINGS)
+    sys.argv = [f"scripts/measure {name}", *arguments[1:]]
+    runpy.run_module(f"monsoonhinge.bench.{name}", run_name="__main__")
+
+
+if __name__ == "__main__":
+    main()
