Tell in a quota line whether anybody grants tokens

Change: the line gives for how long nobody has granted tokens, 0 while the holder answers. Retry-After is logged to the millisecond.

--- a/src/monsoonhinge/ingress/callers.py
+++ b/src/monsoonhinge/ingress/callers.py
@@ -164,6 +164,7 @@
                 running.ticket.give_back()
 
     def _refuse(self, request_id: str, error: refusal.Refusal) -> web.Response:
+        wait_s = error.retry_after_s
         events.emit(
             events.REFUSAL,
             request_id=request_id,
@@ -171,7 +172,7 @@
             step=error.step,
             peer=error.peer,
             status=error.status,
-            retry_after_s=error.retry_after_s,
+            retry_after_s=None if wait_s is None else round(wait_s, 3),
             config=self._link.view.version,
         )
         metrics.REFUSALS.labels(error.reason.value).inc()
--- a/src/monsoonhinge/ingress/quota.py
+++ b/src/monsoonhinge/ingress/quota.py
@@ -141,6 +141,13 @@
             if waiter in waiting:
                 waiting.remove(waiter)
 
+    def holder_silent_s(self) -> float:
+        """Returns for how long nobody has granted tokens; 0 if one does."""
+        since = self._unanswered_since
+        if since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - since
+
     def refund(self, charge: wallet.Charge) -> None:
         """Gives back the tokens of a request that did not run."""
         now = asyncio.get_running_loop().time()
--- a/src/monsoonhinge/ingress/ticket.py
+++ b/src/monsoonhinge/ingress/ticket.py
@@ -87,6 +87,7 @@
             tokens=self._count,
             rate=team.tokens_per_s,
             retry_after_s=round(retry_after_s, 3),
+            holder_silent_s=round(self._tokens.holder_silent_s(), 3),
             outcome="refused",
         )
         return refusal.Refusal(
--- a/tests/ingress/test_quota.py
+++ b/tests/ingress/test_quota.py
@@ -3,12 +3,15 @@
 import asyncio
 import random
 
+import pytest
+
 from monsoonhinge.config import ingress as objects
 from monsoonhinge.config import schema
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import ticket
 from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
 from monsoonhinge.scheduler import budget
 
 _RATE = 10_000.0
@@ -126,3 +129,23 @@
         await gateway.stop()
 
     asyncio.run(run())
+
+
+def test_refusal_tells_whether_the_holder_of_the_rates_is_gone() -> None:
+    """Guards against a 429 whose line does not tell the two causes apart."""
+
+    async def silent(request: messages.GrantRequest) -> messages.Grant:
+        raise errors.ConnectionLost("no member grants", step="grant")
+
+    async def run() -> tuple[float, float]:
+        holder = _Holder()
+        granted = quota.Quota(gateway="a", send=holder.grant)
+        lost = quota.Quota(gateway="b", send=silent)
+        for gateway in (granted, lost):
+            await gateway.charge(TEAM, 2 * _BURST, time_left_s=1.0)
+        silences = granted.holder_silent_s(), lost.holder_silent_s()
+        await granted.stop()
+        await lost.stop()
+        return silences
+
+    assert asyncio.run(run()) == (0.0, pytest.approx(0.25, abs=0.15))
