Add `monsoonhinge why MODEL`

The command reads the state dumps of the control members, finds the one that places models and tells whether a model is loaded, who asks for it, and what each engine has of it or does instead. The state dump lists needs, copies and the condition of each engine under `placement`, with times relative to now.

--- a/src/monsoonhinge/cli/__main__.py
+++ b/src/monsoonhinge/cli/__main__.py
@@ -13,6 +13,7 @@
 from monsoonhinge.cli import operations
 from monsoonhinge.cli import options
 from monsoonhinge.cli import outcome
+from monsoonhinge.cli import why
 from monsoonhinge.runtime import errors
 
 _Command = (
@@ -26,6 +27,7 @@
     | operations.Drain
     | cluster.Member
     | explain.Explain
+    | why.Why
 )
 
 
--- a/src/monsoonhinge/cli/operations.py
+++ b/src/monsoonhinge/cli/operations.py
@@ -27,14 +27,8 @@
 
     async def run(self) -> None:
         """Prints the state."""
-        text = await _send("GET", self.address, "/debug/state")
-        try:
-            state: Any = json.loads(text)
-        except ValueError as error:
-            raise outcome.Failure(
-                outcome.EXIT_FAILED, [f"{self.address}: answer is not JSON"]
-            ) from error
-        outcome.show(state, as_json=self.json, text=json.dumps(state, indent=2))
+        found = await state(self.address)
+        outcome.show(found, as_json=self.json, text=json.dumps(found, indent=2))
 
 
 @cappa.command(name="drain", help="Stops a process gracefully")
@@ -54,6 +48,21 @@
         )
 
 
+async def state(address: str) -> Any:
+    """Returns the state of a process.
+
+    Raises:
+        outcome.Failure: It did not answer with one.
+    """
+    text = await _send("GET", address, "/debug/state")
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        raise outcome.Failure(
+            outcome.EXIT_FAILED, [f"{address}: answer is not JSON"]
+        ) from error
+
+
 async def _send(method: str, address: str, path: str) -> str:
     parsed = cluster.parse_address(address)
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
--- a/src/monsoonhinge/fleet/conductor.py
+++ b/src/monsoonhinge/fleet/conductor.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-import dataclasses
 from typing import Any
 
 from monsoonhinge.config import view as config_view
@@ -125,19 +124,22 @@
             ],
         )
 
-    def dump(self) -> dict[str, Any]:
-        """Returns the state for operators."""
+    def dump(self, now: float) -> dict[str, Any]:
+        """Returns the state for operators; times are seconds from now."""
         return {
-            engine.target: {
-                "held": {
-                    name: dataclasses.asdict(held)
-                    for name, held in engine.held.items()
-                },
-                "accepted": engine.accepted,
-                "swapping": engine.swapping,
-                "running": engine.running,
-            }
-            for engine in self.engines.values()
+            "fencing": self.fencing,
+            "engines": {
+                engine.target: engine.dump(now)
+                for engine in self.engines.values()
+            },
+            "needs": {
+                key.model: {
+                    "service": key.service,
+                    "waiting": need.waiting,
+                    "rate": round(need.rate, 3),
+                }
+                for key, need in self.book.needs(now).items()
+            },
         }
 
     def _follow_registry(self, view: config_view.View, now: float) -> None:
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Mapping
 import dataclasses
+from typing import Any
 
 from monsoonhinge.config import ingress
 from monsoonhinge.fleet import dialect
@@ -102,6 +103,28 @@
         """Id of the target."""
         return self.registration.target
 
+    def dump(self, now: float) -> dict[str, Any]:
+        """Returns the state for operators; times are seconds from ``now``."""
+        return {
+            "service": self.registration.service,
+            "held": {
+                name: {
+                    "state": held.state,
+                    "for_s": round(now - held.since, 3),
+                    "ready_in_s": round(max(0.0, held.ready_at - now), 3),
+                    "adapters": sorted(held.adapters),
+                    "running": self.running.get(name, 0),
+                }
+                for name, held in self.held.items()
+            },
+            "on_disk": sorted(self.on_disk),
+            "in_memory": sorted(self.in_memory),
+            "known": self.accepted is not None,
+            "swapping": self.swapping,
+            "unreachable": self.unreachable,
+            "retry_in_s": round(max(0.0, self.retry_at - now), 3),
+        }
+
     def configure(self, limits: ingress.IngressEngine) -> None:
         """Takes the limits of a new configuration."""
         if limits is not self.limits:
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -134,12 +134,13 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for operators."""
+        now = asyncio.get_running_loop().time()
         return super().dump() | {
             "targets": {
                 target: entry.registration.state
                 for target, entry in self.registry.entries.items()
             },
-            "engines": self.conductor.dump() if self.conductor else {},
+            "placement": self.conductor.dump(now) if self.conductor else {},
             "budgets": self.budgets.dump(),
         }
 
--- /dev/null
+++ b/tests/cli/test_why.py
@@ -0,0 +1,82 @@
+"""Tests of the command that explains where a model is."""
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from monsoonhinge.cli import __main__ as cli
+from monsoonhinge.cli import operations
+from monsoonhinge.cli import outcome
+from monsoonhinge.cli import why
+from monsoonhinge.fleet import conductor
+from monsoonhinge.fleet import demand
+from monsoonhinge.fleet import engine as engines
+from monsoonhinge.protocol import fleet as fleet_messages
+from tests.fleet import world
+
+
+def _placement(
+    *fleet: engines.Engine, waiting: int = 0, fencing: int = 7
+) -> dict[str, Any]:
+    book = demand.DemandBook()
+    need = fleet_messages.ModelNeed(
+        service=world.SERVICE, model="m9", waiting=waiting, arrived=waiting
+    )
+    book.update(fleet_messages.FleetDemand(gateway="g", needs=[need]), 0.0)
+    made = object.__new__(conductor.Conductor)
+    made.fencing = fencing
+    made.book = book
+    made.engines = {engine.target: engine for engine in fleet}
+    document: dict[str, Any] = json.loads(json.dumps(made.dump(1.0)))
+    return document
+
+
+def test_every_reason_has_its_own_verdict() -> None:
+    """Guards against one answer for all models that are not loaded."""
+    idle = world.engine("t1", models=("m1",))
+    holder = world.engine("t2", models=("m9",), running={"m9": 2})
+    copy = world.engine("t3", models=("m1",), on_disk=("m9",))
+    busy = world.engine("t4", models=("m1",), on_disk=("m9",))
+    busy.swapping = True
+
+    def verdict(*fleet: engines.Engine, waiting: int = 1) -> str:
+        text = why.explain("m9", _placement(*fleet, waiting=waiting))
+        return str(text["verdict"])
+
+    assert verdict(idle, holder) == "loaded on 1 of 2 engines"
+    assert verdict(idle, waiting=0).endswith("no request waits for it")
+    assert verdict(busy).endswith("no engine is free")
+    assert verdict(idle).endswith("only the weight store has it")
+    assert verdict(idle, copy).endswith("a load is due")
+    assert verdict().endswith("no engine is known")
+
+
+def test_the_member_that_places_is_found(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a verdict of a member that lost its lease."""
+    engine = world.engine("t1", models=("m9",))
+    states: dict[str, Any] = {
+        "a:1": {"placement": {}},
+        "b:1": {"placement": _placement(engine, fencing=7)},
+        "c:1": {"placement": _placement(engine, fencing=9)},
+    }
+
+    async def state(address: str) -> Any:
+        await asyncio.sleep(0)
+        if address not in states:
+            raise outcome.Failure(1, [f"{address}: no answer"])
+        return states[address]
+
+    monkeypatch.setattr(operations, "state", state)
+    assert cli.run(["why", "m9", "a:1", "b:1", "c:1", "d:1"]) == 0
+    shown = capsys.readouterr().out
+    assert "m9: loaded on 1 of 1 engines" in shown
+    assert "placed by c:1 under 9" in shown
+    assert cli.run(["why", "m9", "a:1", "d:1"]) == 1
+    shown = capsys.readouterr().err
+    assert "a:1: does not place models" in shown
+    assert "d:1: no answer" in shown
+    assert cli.run(["why", "m9"]) == 2
