--- a/src/monsoonhinge/consensus/membership.py
+++ b/src/monsoonhinge/consensus/membership.py
@@ -88,9 +88,10 @@
     voting = {m.name for m in configuration.members if m.voter}
     # A missing voter is replaced before another one is removed.
     ready.sort(key=lambda learner: learner.name in voting)
-    for learner in ready:
-        if learner.name in voting or len(configuration.voters) < target_voters:
-            return next_step(configuration, learner.id.__eq__)
+    missing = len(configuration.voters) < target_voters
+    due = [m.id for m in ready if missing or m.name in voting]
+    if due:
+        return next_step(configuration, lambda member: member == due[0])
     for member in configuration.members:
         if not silent(member.id) or (member.voter and not ready):
             continue
