Keep a target out that left, until it announces itself again

Its deregistration has no sequence number of its own. A gateway that lost a member of a core cut in two followed another one, which had not learned of it and sent the target as ready under the number under which it had left; the gateway took it back.

Change: under one sequence number, gone goes before ready; a repeated gone is no news.

--- a/src/monsoonhinge/ingress/targets.py
+++ b/src/monsoonhinge/ingress/targets.py
@@ -6,6 +6,7 @@
 
 READY = "ready"
 SILENT = "silent"
+GONE = "gone"
 LOADED = "loaded"
 
 # A target that denied holding a model is not asked for it for this long.
@@ -91,18 +92,25 @@
     def __init__(self) -> None:
         self.by_name: dict[str, Target] = {}
         self.fencing = 0
-        self._positions: dict[str, tuple[int, int]] = {}
+        self._positions: dict[str, tuple[int, int, bool]] = {}
         self._placements: dict[str, fleet.Placement] = {}
 
     def register(self, registration: fleet.Registration) -> bool:
-        """Takes a registration; returns whether it was news."""
+        """Takes a registration; returns whether it was news.
+
+        A target leaves without a new sequence number. A member that was cut
+        off meanwhile still sends it as ready under the same number.
+        """
         name = registration.target
-        position = (registration.incarnation, registration.sequence)
+        gone = registration.state == GONE
+        position = (registration.incarnation, registration.sequence, gone)
         known = self._positions.get(name)
-        if known is not None and position < known:
+        if known is not None and (
+            position < known or (gone and position == known)
+        ):
             return False
         target = self.by_name.get(name)
-        if registration.state in ("gone",):
+        if gone:
             self._positions[name] = position
             self.by_name.pop(name, None)
             return True
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -330,6 +330,35 @@
     assert earliest_s() == 0.3
 
 
+def test_target_that_left_does_not_return_through_a_member_behind() -> None:
+    """Guards against requests at a target that said that it leaves.
+
+    A member that the others could not reach sent it as ready again, with the
+    sequence number under which it had left.
+    """
+    known = targets.Targets()
+
+    def register(state: str, sequence: int) -> bool:
+        return known.register(
+            fleet.Registration(
+                target="a",
+                incarnation=1,
+                sequence=sequence,
+                service="s",
+                state=state,
+            )
+        )
+
+    assert register("ready", 14)
+    assert register("gone", 14)
+    assert not register("gone", 14)
+    assert not register("ready", 14)
+    assert not known.by_name
+    # A target that goes on announcing itself is back.
+    assert register("ready", 15)
+    assert "a" in known.by_name
+
+
 def test_retry_budget_holds_over_all_gateways() -> None:
     """Guards against a storm of repeats when every gateway retries."""
     gateways = [
