Let a departure count whatever its sequence number is

Members and gateways took the departure under 14 for older than the announcements and dropped it, although it was acknowledged; gateways went on using the server for three seconds.

Change: a departure of a start goes before all its announcements, unless the target came back after just that departure. A target comes back by a later announcement once late ones can no longer arrive.

Ruled out: a lost relay between members (the other two had the departure), and gateways that follow only the cut half.

--- a/src/monsoonhinge/fleet/registry.py
+++ b/src/monsoonhinge/fleet/registry.py
@@ -30,11 +30,14 @@
         heard_at: When the target itself was last heard here; None if another
             member has heard it since.
         changed_at: When the registration last changed.
+        returned_from: Sequence number of the latest departure of this start
+            that a later announcement has undone; -1 if there is none.
     """
 
     registration: fleet.Registration
     heard_at: float | None
     changed_at: float
+    returned_from: int = -1
 
 
 class Registry:
@@ -123,6 +126,9 @@
         entry = self.entries.get(registration.target)
         if entry is not None and self._is_outdated(registration, entry, now):
             return None
+        returned_from = -1
+        if entry is not None and _same_start(registration, entry.registration):
+            registration, returned_from = _following(registration, entry)
         changed = []
         for other in list(self.entries.values()):
             known = other.registration
@@ -142,7 +148,7 @@
         heard_at = None if entry is None else entry.heard_at
         changed_at = now if changed or entry is None else entry.changed_at
         self.entries[registration.target] = Entry(
-            registration, heard_at, changed_at
+            registration, heard_at, changed_at, returned_from
         )
         return changed
 
@@ -152,9 +158,16 @@
         known = entry.registration
         if registration.incarnation != known.incarnation:
             return registration.incarnation < known.incarnation
-        if known.state == GONE and registration.state != GONE:
-            return now - entry.changed_at < _REVIVE_AFTER_S
-        if registration.state in (GONE, SILENT):
+        if registration.state == GONE:
+            # A departure has no number of its own; the member that took it
+            # may not have heard the latest announcements.
+            return registration.sequence <= entry.returned_from
+        if known.state == GONE:
+            return (
+                now - entry.changed_at < _REVIVE_AFTER_S
+                or registration.sequence <= known.sequence
+            )
+        if registration.state == SILENT:
             return registration.sequence < known.sequence
         return registration.sequence <= known.sequence
 
@@ -168,6 +181,28 @@
         return entry.registration
 
 
+def _same_start(one: fleet.Registration, other: fleet.Registration) -> bool:
+    return one.incarnation == other.incarnation
+
+
+def _following(
+    registration: fleet.Registration, entry: Entry
+) -> tuple[fleet.Registration, int]:
+    """Returns a registration after another of its start.
+
+    A departure takes the highest number that was heard, so that only later
+    announcements undo it.
+    """
+    known = entry.registration
+    if registration.state == GONE:
+        sequence = max(registration.sequence, known.sequence)
+        gone = dataclasses.replace(registration, sequence=sequence)
+        return gone, entry.returned_from
+    if known.state == GONE:
+        return registration, known.sequence
+    return registration, entry.returned_from
+
+
 def _position(registration: fleet.Registration) -> tuple[int, int]:
     return registration.incarnation, registration.sequence
 
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -212,9 +212,10 @@
         self._wake()
 
     def _registered(self, registrations: list[fleet.Registration]) -> None:
+        now = asyncio.get_running_loop().time()
         for registration in registrations:
             known = self.targets.state(registration.target)
-            if not self.targets.register(registration):
+            if not self.targets.register(registration, now):
                 continue
             if known != (registration.incarnation, registration.state):
                 events.emit(
--- a/src/monsoonhinge/ingress/targets.py
+++ b/src/monsoonhinge/ingress/targets.py
@@ -18,9 +18,16 @@
 # Placements of a member that is not heard any more are used for this long.
 _PLACEMENTS_S = 6.0
 
+# Announcements of a target that departed may still arrive for this long. The
+# control members wait a little longer, so that what they publish is taken.
+_RETURN_AFTER_S = 5.0
+
 # Weight of the latest answer in the smoothed time of a target.
 _SMOOTHING = 0.2
 
+# Incarnation and sequence number of an announcement.
+_Position = tuple[int, int]
+
 
 @dataclasses.dataclass(slots=True)
 class Target:
@@ -92,28 +99,23 @@
     def __init__(self) -> None:
         self.by_name: dict[str, Target] = {}
         self.fencing = 0
-        self._positions: dict[str, tuple[int, int, bool]] = {}
+        self._positions: dict[str, _Position] = {}
+        self._departed: dict[str, tuple[_Position, float]] = {}
+        self._returned: dict[str, _Position] = {}
         self._placements: dict[str, fleet.Placement] = {}
 
-    def register(self, registration: fleet.Registration) -> bool:
-        """Takes a registration; returns whether it was news.
-
-        A target leaves without a new sequence number. A member that was cut
-        off meanwhile still sends it as ready under the same number.
-        """
+    def register(self, registration: fleet.Registration, now: float) -> bool:
+        """Takes a registration; returns whether it was news."""
         name = registration.target
-        gone = registration.state == GONE
-        position = (registration.incarnation, registration.sequence, gone)
+        position = (registration.incarnation, registration.sequence)
         known = self._positions.get(name)
-        if known is not None and (
-            position < known or (gone and position == known)
-        ):
+        if registration.state == GONE:
+            return self._depart(name, position, now)
+        if known is not None and position < known:
+            return False
+        if not self._may_return(name, position, now):
             return False
         target = self.by_name.get(name)
-        if gone:
-            self._positions[name] = position
-            self.by_name.pop(name, None)
-            return True
         self._positions[name] = position
         if (
             target is not None
@@ -192,6 +194,39 @@
                 times.append(0.0)
         return min(times, default=None)
 
+    def _depart(self, name: str, position: _Position, now: float) -> bool:
+        """Takes a departure; returns whether the target was there.
+
+        A departure has no sequence number of its own. The member that takes
+        it may have been cut off from one that heard later announcements, so
+        that it counts whatever its number is, unless the target came back
+        after just that departure.
+        """
+        known = self._positions.get(name, position)
+        if position[0] < known[0]:
+            return False
+        if position <= self._returned.get(name, (-1, -1)):
+            return False
+        if name in self._departed and position[0] == known[0]:
+            return False
+        self._positions[name] = max(known, position)
+        self._departed[name] = (self._positions[name], now)
+        self.by_name.pop(name, None)
+        return True
+
+    def _may_return(self, name: str, position: _Position, now: float) -> bool:
+        """Returns whether an announcement may undo a departure."""
+        if name not in self._departed:
+            return True
+        departure, departed_at = self._departed[name]
+        if position[0] == departure[0] and (
+            position <= departure or now - departed_at < _RETURN_AFTER_S
+        ):
+            return False
+        del self._departed[name]
+        self._returned[name] = departure
+        return True
+
     def _place(
         self, target: Target, placement: fleet.Placement, now: float | None
     ) -> None:
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -58,6 +58,25 @@
     assert known.announce(world.registration(sequence=9), 20.0)
 
 
+def test_departure_counts_beside_later_announcements() -> None:
+    """Guards against a departure taken by a member that heard less.
+
+    The other half of a core that was cut in two had heard later announcements
+    and went on publishing the target as ready.
+    """
+    known = _registry()
+    known.announce(world.registration(sequence=17), 0.0)
+    gone = world.registration(sequence=14, state=registry.GONE)
+    (changed,) = known.merge(gone, 1.0)
+    assert (changed.state, changed.sequence) == (registry.GONE, 17)
+    assert known.merge(world.registration(sequence=17), 20.0) == []
+    assert known.announce(world.registration(sequence=24), 21.0)
+    # A member behind repeats the departure that was undone.
+    assert known.merge(gone, 22.0) == []
+    assert known.serving()
+    assert known.depart("t1", 23.0)
+
+
 def test_silent_target_is_reported_once_and_returns() -> None:
     """Guards against a crash that nobody notices."""
     known = _registry()
