Log why models with waiting requests are not loaded

Cause of this change: the logs show loads and their times, but no line says why a waiting model is not loaded, so that the store hypothesis and the replica hypothesis cannot be told apart.

Change: planning returns the obstacle of each model that it plans no load for; the holder of the fleet lease writes a placement_summary line once a second and serves the same as metrics. Adapter loads move from the controller to a module of their own, and the result types of planning to placement_plan. No decision changes.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -1,16 +1,20 @@
 """Places models on engines while this member holds the fleet lease."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+from monsoonhinge.config import ingress
 from monsoonhinge.config import view as config_view
+from monsoonhinge.fleet import adapter_loader
 from monsoonhinge.fleet import adapters
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.fleet import orders
 from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import placement_plan
+from monsoonhinge.fleet import placement_report
 from monsoonhinge.fleet import registry as target_registry
 from monsoonhinge.fleet import swaps
 from monsoonhinge.fleet import weightstore
@@ -70,7 +74,12 @@
         self._tasks: dict[str, set[asyncio.Task[None]]] = {}
         self._published: dict[str, fleet.Placement] = {}
         self._running_published_at = 0.0
-        self._adapter_loads: set[tuple[str, str, str]] = set()
+        self._adapter_loader = adapter_loader.AdapterLoader(
+            on_change=self._publish_current,
+            on_lease_lost=on_lease_lost,
+            on_state_unknown=self._resynchronize_engine,
+        )
+        self._reporter = placement_report.PlacementReporter()
 
     def stop(self) -> None:
         """Cancels all tasks, so that no more orders are sent."""
@@ -88,36 +97,62 @@
             engine.unreachable = engine.target in unreachable
         needs = self.demand_tracker.needs(now)
         for name, service in view.ingress_services.items():
-            if service.engine is None:
-                continue
-            service_engines = [
-                engine
-                for engine in self.engines.values()
-                if engine.registration.service == name
-            ]
-            planned = placement.plan(
-                service=name,
-                fleet=service_engines,
-                needs=needs,
-                store=placement.StoreState(
-                    active_loads=len(self._store_limiter.active_loads),
-                    available_starts=self._store_limiter.available_starts(
-                        loads_per_s=service.engine.loads_per_s, now=now
-                    ),
+            if service.engine is not None:
+                self._plan_service(name, service.engine, needs, now)
+        self._publish_changes(now)
+
+    def _plan_service(
+        self,
+        name: str,
+        limits: ingress.IngressEngine,
+        needs: Mapping[demand.ModelKey, demand.Need],
+        now: float,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        service_engines = [
+            engine
+            for engine in self.engines.values()
+            if engine.registration.service == name
+        ]
+        plan = placement.plan(
+            service=name,
+            fleet=service_engines,
+            needs=needs,
+            store=placement_plan.StoreState(
+                active_loads=len(self._store_limiter.active_loads),
+                available_starts=self._store_limiter.available_starts(
+                    loads_per_s=limits.loads_per_s, now=now
+                ),
+            ),
+            now=now,
+        )
+        for swap in plan.swaps:
+            self._start_swap(swap, now)
+        for load in adapters.plan(
+            service=name,
+            fleet=service_engines,
+            needs=needs,
+            in_flight=self._adapter_loader.in_flight,
+            now=now,
+        ):
+            engine = self.engines[load.target]
+            self._adapter_loader.reserve(engine, load, now)
+            self._spawn(
+                load.target,
+                self._adapter_loader.run(
+                    engine, self._channels[load.target], load
                 ),
-                now=now,
             )
-            for swap in planned:
-                self._start_swap(swap, now)
-            for load in adapters.plan(
-                service=name,
-                fleet=service_engines,
-                needs=needs,
-                in_flight=self._adapter_loads,
-                now=now,
-            ):
-                self._start_adapter_load(load, now)
-        self._publish_changes(now)
+        self._reporter.record(
+            service=name,
+            fleet=service_engines,
+            plan=plan,
+            needs=needs,
+            store_loads=self._store_limiter.active_loads,
+            step_s=loop.time() - started_at,
+            now=now,
+        )
 
     def snapshot(self, now: float) -> fleet.Placements:
         """Returns the placements of all engines, for a new subscriber."""
@@ -191,9 +226,7 @@
             task.cancel()
         for model in engine.replicas:
             self._store_limiter.record_finish(target, model)
-        self._adapter_loads = {
-            item for item in self._adapter_loads if item[0] != target
-        }
+        self._adapter_loader.forget(target)
         self._published.pop(target, None)
 
     def _spawn(self, target: str, work: Coroutine[Any, Any, None]) -> None:
@@ -223,7 +256,12 @@
         except orders.LeaseLostError:
             self._on_lease_lost()
 
-    def _start_swap(self, swap: placement.Swap, now: float) -> None:
+    def _resynchronize_engine(self, engine: engines.Engine) -> None:
+        """Sends no orders to an engine until its state is known again."""
+        engine.order_count = None
+        self._spawn(engine.target, self._synchronize_engine(engine))
+
+    def _start_swap(self, swap: placement_plan.Swap, now: float) -> None:
         engine = self.engines[swap.target]
         engine.swapping = True
         for name in swap.evictions:
@@ -249,14 +287,14 @@
         self._spawn(swap.target, self._run_swap(engine, swap))
 
     async def _run_swap(
-        self, engine: engines.Engine, swap: placement.Swap
+        self, engine: engines.Engine, swap: placement_plan.Swap
     ) -> None:
         loop = asyncio.get_running_loop()
         executor = swaps.SwapExecutor(
             engine=engine,
             channel=self._channels[swap.target],
             store_limiter=self._store_limiter,
-            on_change=lambda: self._publish_changes(loop.time()),
+            on_change=self._publish_current,
         )
         try:
             if not await executor.run(swap):
@@ -271,15 +309,14 @@
             )
             self._on_lease_lost()
         finally:
-            self._publish_changes(loop.time())
+            self._publish_current()
 
     def _handle_refusal(
-        self, engine: engines.Engine, swap: placement.Swap, now: float
+        self, engine: engines.Engine, swap: placement_plan.Swap, now: float
     ) -> None:
         """Reads the state of an engine again after it refused an order."""
-        engine.order_count = None
         engine.retry_at = now + _REFUSAL_BACKOFF_S
-        self._spawn(engine.target, self._synchronize_engine(engine))
+        self._resynchronize_engine(engine)
         events.emit(
             events.PLACEMENT,
             target=swap.target,
@@ -288,57 +325,8 @@
             fencing=self.fencing,
         )
 
-    def _start_adapter_load(
-        self, load: adapters.AdapterLoad, now: float
-    ) -> None:
-        engine = self.engines[load.target]
-        engine.replicas[load.model].adapters[load.adapter] = now
-        self._adapter_loads.add((load.target, load.model, load.adapter))
-        self._spawn(load.target, self._run_adapter_load(engine, load))
-
-    async def _run_adapter_load(
-        self, engine: engines.Engine, load: adapters.AdapterLoad
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        channel = self._channels[load.target]
-        done = False
-        try:
-            if load.eviction and not await self._unload_adapter(
-                engine, load.eviction
-            ):
-                return
-            outcome = await channel.execute(
-                load=True, model=load.model, adapter=load.adapter
-            )
-            done = outcome is not orders.Outcome.REFUSED
-            if done:
-                await asyncio.sleep(adapters.ADAPTER_LOAD_S)
-        except orders.LeaseLostError:
-            self._on_lease_lost()
-        finally:
-            if not done and load.model in engine.replicas:
-                engine.replicas[load.model].adapters.pop(load.adapter, None)
-            self._adapter_loads.discard((load.target, load.model, load.adapter))
-            self._publish_changes(loop.time())
-
-    async def _unload_adapter(
-        self, engine: engines.Engine, eviction: tuple[str, str]
-    ) -> bool:
-        """Unloads an adapter; returns whether its memory is free now."""
-        model, adapter = eviction
-        outcome = await self._channels[engine.target].execute(
-            load=False, model=model, adapter=adapter
-        )
-        if outcome is orders.Outcome.APPLIED:
-            if model in engine.replicas:
-                engine.replicas[model].adapters.pop(adapter, None)
-            return True
-        if outcome is orders.Outcome.STARTED:
-            # The adapter has running requests; the engine refuses other orders
-            # until they end.
-            engine.order_count = None
-            self._spawn(engine.target, self._synchronize_engine(engine))
-        return False
+    def _publish_current(self) -> None:
+        self._publish_changes(asyncio.get_running_loop().time())
 
     def _publish_changes(self, now: float) -> None:
         include_running = (
@@ -351,7 +339,8 @@
                 model.adapters = [
                     adapter
                     for adapter in model.adapters
-                    if (target, model.name, adapter) not in self._adapter_loads
+                    if (target, model.name, adapter)
+                    not in self._adapter_loader.in_flight
                 ]
             previous = self._published.get(target)
             if previous is None or _has_changed(
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -8,11 +8,11 @@
 """
 
 from collections.abc import Mapping, Sequence
-import dataclasses
 import math
 
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import placement_plan
 
 # Value of a request that misses its deadline, relative to one that meets it.
 _LATE_REQUEST_WEIGHT = 0.15
@@ -55,55 +55,21 @@
 _MIN_IDLE_ENGINES = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Swap:
-    """A planned load of a model and the unloads that free memory for it.
-
-    Attributes:
-        target: Target id of the engine.
-        model: Model to load; "" if none is loaded.
-        evictions: Models to unload first.
-        load_s: Expected duration of the load.
-        from_store: Whether the weights are read from the weight store.
-        reason: Planning rule that chose the load, for the event log.
-    """
-
-    target: str
-    model: str
-    evictions: tuple[str, ...]
-    load_s: float
-    from_store: bool
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreState:
-    """Use of the weight store.
-
-    Attributes:
-        active_loads: Loads in progress.
-        available_starts: Loads that may start now within the rate limit.
-    """
-
-    active_loads: int
-    available_starts: int
-
-
 def plan(
     *,
     service: str,
     fleet: Sequence[engines.Engine],
     needs: Mapping[demand.ModelKey, demand.Need],
-    store: StoreState,
+    store: placement_plan.StoreState,
     now: float,
-) -> list[Swap]:
-    """Returns the swaps to start now, at most one for each engine."""
+) -> placement_plan.Plan:
+    """Plans the swaps to start now, at most one for each engine."""
     planner = _Planner(service, fleet, needs, store, now)
     planner.fill_empty_engines()
     planner.load_waiting()
     planner.load_uncached()
     planner.replicate_busy()
-    return planner.swaps
+    return planner.plan
 
 
 class _Planner:
@@ -112,7 +78,7 @@
         service: str,
         fleet: Sequence[engines.Engine],
         needs: Mapping[demand.ModelKey, demand.Need],
-        store: StoreState,
+        store: placement_plan.StoreState,
         now: float,
     ) -> None:
         self.service = service
@@ -133,7 +99,7 @@
         }
         self.available_store_starts = store.available_starts
         self.active_store_loads = store.active_loads
-        self.swaps: list[Swap] = []
+        self.plan = placement_plan.Plan()
 
     def load_uncached(self) -> None:
         """Loads a model without a cached copy, at most one per call.
@@ -252,7 +218,8 @@
         reason: str,
         among: Mapping[str, engines.Engine] | None = None,
     ) -> None:
-        best: tuple[float, Swap] | None = None
+        best: tuple[float, placement_plan.Swap] | None = None
+        obstacle = placement_plan.Obstacle.NO_ENGINE
         for engine in (self.available if among is None else among).values():
             if not engine.is_configured(model) or model in engine.replicas:
                 continue
@@ -260,15 +227,18 @@
             if from_store and not self._may_use_store(
                 engine, need, uncached=reason == "uncopied"
             ):
+                if obstacle is placement_plan.Obstacle.NO_ENGINE:
+                    obstacle = placement_plan.Obstacle.STORE
                 continue
             evictions = self._choose_evictions(engine, model)
             if evictions is None:
+                obstacle = placement_plan.Obstacle.NO_EVICTION
                 continue
             load_s = engine.load_s(model)
             if from_store:
                 load_s *= max(1.0, (self.active_store_loads + 1) / 4)
             cost = self._swap_cost(engine, evictions, load_s, need)
-            swap = Swap(
+            swap = placement_plan.Swap(
                 target=engine.target,
                 model=model,
                 evictions=evictions,
@@ -279,13 +249,16 @@
             if best is None or cost < best[0]:
                 best = (cost, swap)
         if best is None:
+            if need.waiting:
+                self.plan.obstacles[model] = obstacle
             return
         swap = best[1]
+        self.plan.obstacles.pop(model, None)
         del self.available[swap.target]
         if swap.from_store:
             self.available_store_starts -= 1
             self.active_store_loads += 1
-        self.swaps.append(swap)
+        self.plan.swaps.append(swap)
 
     def _swap_cost(
         self,
--- /dev/null
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -0,0 +1,69 @@
+"""Result of one planning step: the swaps to start, and what held others up."""
+
+import dataclasses
+import enum
+
+
+class Obstacle(enum.Enum):
+    """Why no load was planned for a model that requests wait for.
+
+    Attributes:
+        NO_ENGINE: No engine that may load the model is free to carry out an
+            order.
+        NO_EVICTION: On each free engine the memory is taken by models that may
+            not be evicted.
+        STORE: The free engines have no cached copy, and no load from the
+            weight store may start.
+    """
+
+    NO_ENGINE = "no_free_engine"
+    NO_EVICTION = "no_evictable_model"
+    STORE = "store_limit"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Swap:
+    """A planned load of a model and the unloads that free memory for it.
+
+    Attributes:
+        target: Target id of the engine.
+        model: Model to load; "" if none is loaded.
+        evictions: Models to unload first.
+        load_s: Expected duration of the load.
+        from_store: Whether the weights are read from the weight store.
+        reason: Planning rule that chose the load, for the event log.
+    """
+
+    target: str
+    model: str
+    evictions: tuple[str, ...]
+    load_s: float
+    from_store: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreState:
+    """Use of the weight store.
+
+    Attributes:
+        active_loads: Loads in progress.
+        available_starts: Loads that may start now within the rate limit.
+    """
+
+    active_loads: int
+    available_starts: int
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Result of one planning step.
+
+    Attributes:
+        swaps: Swaps to start now, at most one for each engine.
+        obstacles: Models with waiting requests for which no load was planned,
+            with the reason.
+    """
+
+    swaps: list[Swap] = dataclasses.field(default_factory=list)
+    obstacles: dict[str, Obstacle] = dataclasses.field(default_factory=dict)
--- a/src/monsoonhinge/fleet/swaps.py
+++ b/src/monsoonhinge/fleet/swaps.py
@@ -7,7 +7,7 @@
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.fleet import orders
-from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import weightstore
 from monsoonhinge.runtime import events
 
@@ -40,7 +40,7 @@
         self._store_limiter = store_limiter
         self._on_change = on_change
 
-    async def run(self, swap: placement.Swap) -> bool:
+    async def run(self, swap: placement_plan.Swap) -> bool:
         """Carries out a swap; returns whether no order was refused.
 
         Raises:
@@ -67,7 +67,7 @@
         self.engine.finish_unload(model, asyncio.get_running_loop().time())
         return True
 
-    async def _load(self, swap: placement.Swap) -> bool:
+    async def _load(self, swap: placement_plan.Swap) -> bool:
         """Loads a model; returns whether the engine accepted the order."""
         loop = asyncio.get_running_loop()
         if swap.from_store:
@@ -94,7 +94,7 @@
         )
         return True
 
-    async def _wait_until_loaded(self, swap: placement.Swap) -> None:
+    async def _wait_until_loaded(self, swap: placement_plan.Swap) -> None:
         """Waits until the engine announces or reports the loaded model.
 
         A load may take seconds longer than expected, because the engine reads
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -9,11 +9,12 @@
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import weightstore
 from tests.fleet import world
 
 _NOW = 10.0
-_STORE = placement.StoreState(active_loads=0, available_starts=10)
+_STORE = placement_plan.StoreState(active_loads=0, available_starts=10)
 
 
 def _need(
@@ -38,14 +39,14 @@
 
 def _plan(
     fleet: list[engines.Engine], needs: dict[str, demand.Need]
-) -> list[placement.Swap]:
+) -> list[placement_plan.Swap]:
     return placement.plan(
         service=world.SERVICE,
         fleet=fleet,
         needs={world.key(name): need for name, need in needs.items()},
         store=_STORE,
         now=_NOW,
-    )
+    ).swaps
 
 
 def test_busy_model_is_loaded_before_rarely_used_models() -> None:
