Reproduce models that are never served in tests of a large fleet

Change: tests only. A simulation plays the load pattern against the placement decisions: 30 engines of three models, 12 busy models, 300 others that are asked for a few times each, and a weight store that reads two loads at once at full speed. Two more tests take one plan each.

--- /dev/null
+++ b/tests/fleet/test_large_fleet.py
@@ -0,0 +1,123 @@
+"""Tests of the placement on a fleet with many engines and busy models."""
+
+from monsoonhinge.config import ingress
+from monsoonhinge.fleet import demand
+from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import placement_plan
+from monsoonhinge.protocol import fleet as messages
+from tests.fleet import simulation
+from tests.fleet import world
+
+_ENGINES = 30
+_PLACES_PER_ENGINE = 3
+_BUSY_MODELS = [f"busy{number}" for number in range(12)]
+_RARE_MODELS = [f"rare{number}" for number in range(300)]
+
+# Loads that the weight store reads at once at full speed.
+_STORE_CONCURRENCY = 2
+
+_LIMITS = ingress.IngressEngine(
+    slots=64,
+    kv_tokens=120_000,
+    weights_bytes=220 * world.GIGABYTE,
+    adapter_capacity=8,
+    loads_per_s=34.0,
+    models=[world.model(name) for name in (*_BUSY_MODELS, *_RARE_MODELS)],
+)
+
+
+def _fleet(*, busy_replicas: int) -> list[engines.Engine]:
+    """Returns a full fleet; each rarely used model has one copy on disk."""
+    models = [*_BUSY_MODELS * busy_replicas, *_RARE_MODELS]
+    fleet = []
+    for number in range(_ENGINES):
+        first = number * _PLACES_PER_ENGINE
+        loaded = models[first : first + _PLACES_PER_ENGINE]
+        registration = messages.Registration(
+            target=f"t{number}",
+            incarnation=1,
+            sequence=1,
+            service=world.SERVICE,
+            address=f"10.0.0.{number}:80",
+            availability_zone="a",
+            slots=64,
+            state="ready",
+            models=[
+                messages.HeldModel(name=name, version=1) for name in loaded
+            ],
+            on_disk=[*loaded, *_RARE_MODELS[number::_ENGINES]],
+        )
+        engine = engines.Engine(
+            registration=registration, limits=_LIMITS, now=-10.0
+        )
+        engine.order_count = 0
+        fleet.append(engine)
+    return fleet
+
+
+def _plan(
+    fleet: list[engines.Engine], needs: dict[str, demand.Need]
+) -> placement_plan.Plan:
+    return placement.plan(
+        service=world.SERVICE,
+        fleet=fleet,
+        needs={world.key(name): need for name, need in needs.items()},
+        store=placement_plan.StoreState(active_loads=0, available_starts=170),
+        now=0.0,
+    )
+
+
+def test_models_that_are_asked_for_all_day_are_served() -> None:
+    """Guards against models that are never served on a large fleet.
+
+    Few models are busy and each of the others is asked for a few times. The
+    users' bound is 1 and 10 in 100 of the models that are asked for four times
+    or more.
+    """
+    busy = [
+        simulation.Traffic(name, 6.5, latency_s=0.8, patience_s=3.0)
+        for name in _BUSY_MODELS
+    ]
+    rare = [
+        simulation.Traffic(name, 0.069, latency_s=3.0, patience_s=11.75)
+        for name in _RARE_MODELS
+    ]
+    day = simulation.Simulation(
+        fleet=_fleet(busy_replicas=3),
+        traffic=busy + rare,
+        limits=_LIMITS,
+        store_concurrency=_STORE_CONCURRENCY,
+    )
+    day.run(34.0)
+    asked_often = sum(count >= 4 for count in day.asked.values())
+    never_served = day.never_served(min_requests=4)
+    assert len(never_served) <= 1 + 0.1 * asked_often
+
+
+def test_busy_replicas_leave_memory_for_rarely_used_models() -> None:
+    """Guards against busy models whose replicas may not be evicted anywhere."""
+    fleet = _fleet(busy_replicas=8)
+    needs = {name: demand.Need(rate=6.5) for name in _BUSY_MODELS}
+    rare = {
+        name: demand.Need(rate=0.069, waiting=1) for name in _RARE_MODELS[:60]
+    }
+    plan = _plan(fleet, needs | rare)
+    loaded = {swap.model for swap in plan.swaps}
+    assert len(loaded & rare.keys()) >= _ENGINES / 2
+
+
+def test_model_is_loaded_on_one_engine_in_a_plan() -> None:
+    """Guards against two loads of a model for the same waiting request."""
+    fleet = _fleet(busy_replicas=1)
+    for engine in fleet:
+        engine.on_disk.discard("rare299")
+        engine.replicas.pop("rare299", None)
+    need = demand.Need(
+        rate=0.069,
+        waiting=1,
+        earliest_latency_deadline=3.0,
+        latest_queue_deadline=12.0,
+    )
+    plan = _plan(fleet, {"rare299": need})
+    assert [swap.model for swap in plan.swaps] == ["rare299"]
