Plan one load for a model in a planning step

Change: a plan counts replicas itself, with its own swaps and evictions. This also replaces a pass over all engines for each question by a look-up.

--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -283,7 +283,7 @@
         """Returns how many adapters are or may be loaded."""
         return sum(len(replica.adapters) for replica in self.replicas.values())
 
-    def serves(self, model: str, now: float) -> bool:
+    def serves(self, model: str) -> bool:
         """Returns whether the engine is reachable and has or loads a model."""
         replica = self.replicas.get(model)
         return (
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -7,6 +7,7 @@
 requests for other models least.
 """
 
+import collections
 from collections.abc import Mapping, Sequence
 import math
 
@@ -99,6 +100,13 @@
         }
         self.available_store_starts = store.available_starts
         self.active_store_loads = store.active_loads
+        # Replicas that serve, with the effects of the swaps of this plan.
+        self.replica_counts = collections.Counter(
+            model
+            for engine in fleet
+            for model in engine.replicas
+            if engine.serves(model)
+        )
         self.plan = placement_plan.Plan()
 
     def load_uncached(self) -> None:
@@ -118,7 +126,7 @@
             (model, need)
             for model, need in self.needs.items()
             if need.waiting
-            and not any(e.serves(model, self.now) for e in self.fleet)
+            and not self.replica_counts[model]
             and need.latest_queue_deadline - self.now
             >= self._shortest_load_s(model)
             and not self._is_cached(model)
@@ -137,8 +145,7 @@
         candidates = [
             (model, need)
             for model, need in self.needs.items()
-            if need.waiting
-            and not any(e.serves(model, self.now) for e in self.fleet)
+            if need.waiting and not self.replica_counts[model]
         ]
         candidates.sort(key=lambda item: self._load_order(*item))
         for model, need in candidates:
@@ -153,8 +160,7 @@
         ]
         busy.sort(key=lambda item: -item[1].rate)
         for model, need in busy:
-            replica_count = sum(e.serves(model, self.now) for e in self.fleet)
-            if replica_count < self._desired_replicas(need):
+            if self.replica_counts[model] < self._desired_replicas(need):
                 self._plan_load(model, need, "busy")
 
     def fill_empty_engines(self) -> None:
@@ -169,8 +175,8 @@
                 for target, engine in self.available.items()
                 if not engine.replicas
             }
-            replica_count = sum(e.serves(model, self.now) for e in self.fleet)
-            if empty and replica_count < self._desired_replicas(need):
+            missing = self.replica_counts[model] < self._desired_replicas(need)
+            if empty and missing:
                 self._plan_load(model, need, "empty", among=empty)
 
     def _desired_replicas(self, need: demand.Need) -> int:
@@ -258,6 +264,8 @@
         if swap.from_store:
             self.available_store_starts -= 1
             self.active_store_loads += 1
+        self.replica_counts[swap.model] += 1
+        self.replica_counts.subtract(swap.evictions)
         self.plan.swaps.append(swap)
 
     def _swap_cost(
@@ -281,7 +289,7 @@
         """Returns the expected delay due to an eviction, in seconds."""
         need = self.needs.get(model)
         rate = 0.0 if need is None else need.rate
-        other_replicas = sum(e.serves(model, self.now) for e in self.fleet) - 1
+        other_replicas = self.replica_counts[model] - 1
         return rate * 10.0 / (1 + 4 * max(0, other_replicas))
 
     def _needed_for_adapters(self, engine: engines.Engine) -> bool:
@@ -366,7 +374,7 @@
         need = self.needs.get(name)
         if need is None:
             return True
-        replica_count = sum(e.serves(name, self.now) for e in self.fleet)
+        replica_count = self.replica_counts[name]
         if need.rate >= _BUSY_REQUESTS_PER_S:
             return replica_count > self._desired_replicas(need)
         return replica_count > 1 or not need.waiting
