Limit store loads to what the weight store reads at once

Cause: the limit of concurrent store loads was a fraction of the engines, 12 of 30, while the store reads two at once at full speed, whatever the number of engines. Seventeen loads, eleven of them for one busy model, took 24 s and more instead of 7.8 s, and their engines carried out no other order in that time. The class of fault: a limit on a shared resource that grows with the number of its users.

Change: the limit is learned from the loads that end: a slow one lowers it to the number that the store has read at full speed, loads at full speed raise it. It starts at two. Loads of models that are cached elsewhere leave one for models that only the store has; a planned load counts before its order is sent. The constant of four loads at once, which only held for the small deployments, is gone.

Ruled out: planning and control (steps of 4 ms at most, processors idle).

The replicas of busy models are the next obstacle.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -67,9 +67,7 @@
         self._lease_held = lease_held
         self._publish = publish
         self._on_lease_lost = on_lease_lost
-        self._store_limiter = weightstore.StoreRateLimiter(
-            window_s=loads_window_s
-        )
+        self._store_limiter = weightstore.StoreLimiter(window_s=loads_window_s)
         self._channels: dict[str, orders.Channel] = {}
         self._tasks: dict[str, set[asyncio.Task[None]]] = {}
         self._published: dict[str, fleet.Placement] = {}
@@ -124,6 +122,7 @@
                 available_starts=self._store_limiter.available_starts(
                     loads_per_s=limits.loads_per_s, now=now
                 ),
+                max_concurrency=self._store_limiter.max_concurrency,
             ),
             now=now,
         )
@@ -190,7 +189,7 @@
             known = self.engines[target].registration
             current = ready.get(target)
             if current is None or current.incarnation != known.incarnation:
-                self._remove_engine(target)
+                self._remove_engine(target, now)
         for target, registration in ready.items():
             service = view.ingress_services.get(registration.service)
             if service is None or service.engine is None:
@@ -219,13 +218,15 @@
         )
         self._spawn(engine.target, self._synchronize_engine(engine))
 
-    def _remove_engine(self, target: str) -> None:
+    def _remove_engine(self, target: str, now: float) -> None:
         engine = self.engines.pop(target)
         self._channels.pop(target)
         for task in self._tasks.pop(target, ()):
             task.cancel()
         for model in engine.replicas:
-            self._store_limiter.record_finish(target, model)
+            self._store_limiter.record_finish(
+                target, model, loaded=False, now=now
+            )
         self._adapter_loader.forget(target)
         self._published.pop(target, None)
 
@@ -270,6 +271,8 @@
         engine.begin_load(
             swap.model, ready_at=now + swap.load_s + _UNLOAD_DURATION_S, now=now
         )
+        if swap.from_store:
+            self._store_limiter.reserve(swap.target, swap.model)
         need = self.demand_tracker.needs(now).get(
             demand.ModelKey(engine.registration.service, swap.model)
         )
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 import math
 
 from monsoonhinge.fleet import demand
@@ -98,6 +98,7 @@
             and engine.order_count is not None
             and now >= engine.retry_at
         }
+        self.store = store
         self.available_store_starts = store.available_starts
         self.active_store_loads = store.active_loads
         # Replicas that serve, with the effects of the swaps of this plan.
@@ -107,29 +108,39 @@
             for model in engine.replicas
             if engine.serves(model)
         )
+        self.cached = {
+            model
+            for engine in fleet
+            if not engine.unreachable and engine.order_count is not None
+            for model in (*engine.in_memory, *engine.on_disk)
+        }
         self.plan = placement_plan.Plan()
 
+    def load_waiting(self) -> None:
+        """Loads models with waiting requests, most valuable load first."""
+        candidates = [
+            (model, need)
+            for model, need in self._unserved()
+            if model in self.cached or need.rate >= _BUSY_REQUESTS_PER_S
+        ]
+        candidates.sort(key=lambda item: self._load_order(*item))
+        for model, need in candidates:
+            self._plan_load(model, need, "waiting")
+
     def load_uncached(self) -> None:
-        """Loads a model without a cached copy, at most one per call.
+        """Loads a rarely used model without a copy, at most one per call.
 
         Its requests have to wait long enough for the load to finish. The load
         takes one idle engine and leaves another for loads from disk, which
         serve more requests in the same time.
         """
-        limit = max(1, round(_UNCACHED_LOAD_FRACTION * len(self.fleet)))
-        if (
-            self.active_store_loads >= limit
-            or len(self.available) < _MIN_IDLE_ENGINES
-        ):
-            return
         candidates = [
             (model, need)
-            for model, need in self.needs.items()
-            if need.waiting
-            and not self.replica_counts[model]
+            for model, need in self._unserved()
+            if model not in self.cached
+            and need.rate < _BUSY_REQUESTS_PER_S
             and need.latest_queue_deadline - self.now
             >= self._shortest_load_s(model)
-            and not self._is_cached(model)
         ]
         candidates.sort(
             key=lambda item: (
@@ -137,19 +148,19 @@
                 item[1].latest_queue_deadline,
             )
         )
-        for model, need in candidates[:1]:
+        limit = max(1, round(_UNCACHED_LOAD_FRACTION * len(self.fleet)))
+        may_load = (
+            self.active_store_loads < limit
+            and len(self.available) >= _MIN_IDLE_ENGINES
+        )
+        for model, need in candidates[:1] if may_load else ():
             self._plan_load(model, need, "uncopied")
 
-    def load_waiting(self) -> None:
-        """Loads models with waiting requests, most valuable load first."""
-        candidates = [
-            (model, need)
-            for model, need in self.needs.items()
-            if need.waiting and not self.replica_counts[model]
-        ]
-        candidates.sort(key=lambda item: self._load_order(*item))
-        for model, need in candidates:
-            self._plan_load(model, need, "waiting")
+    def _unserved(self) -> Iterator[tuple[str, demand.Need]]:
+        """Yields the models with waiting requests that no engine serves."""
+        for model, need in self.needs.items():
+            if need.waiting and not self.replica_counts[model]:
+                yield model, need
 
     def replicate_busy(self) -> None:
         """Adds replicas of busy models that have too few."""
@@ -208,15 +219,6 @@
             default=math.inf,
         )
 
-    def _is_cached(self, model: str) -> bool:
-        return any(
-            not engine.loads_from_store(model)
-            for engine in self.fleet
-            if engine.is_configured(model)
-            and not engine.unreachable
-            and engine.order_count is not None
-        )
-
     def _plan_load(
         self,
         model: str,
@@ -230,9 +232,7 @@
             if not engine.is_configured(model) or model in engine.replicas:
                 continue
             from_store = engine.loads_from_store(model)
-            if from_store and not self._may_use_store(
-                engine, need, uncached=reason == "uncopied"
-            ):
+            if from_store and not self._may_use_store(engine, model, need):
                 if obstacle is placement_plan.Obstacle.NO_ENGINE:
                     obstacle = placement_plan.Obstacle.STORE
                 continue
@@ -241,8 +241,6 @@
                 obstacle = placement_plan.Obstacle.NO_EVICTION
                 continue
             load_s = engine.load_s(model)
-            if from_store:
-                load_s *= max(1.0, (self.active_store_loads + 1) / 4)
             cost = self._swap_cost(engine, evictions, load_s, need)
             swap = placement_plan.Swap(
                 target=engine.target,
@@ -313,7 +311,7 @@
         return False
 
     def _may_use_store(
-        self, engine: engines.Engine, need: demand.Need, *, uncached: bool
+        self, engine: engines.Engine, model: str, need: demand.Need
     ) -> bool:
         """Returns whether an engine may start a load from the store.
 
@@ -321,12 +319,13 @@
         disk. A rarely used model therefore goes to an engine with few cached
         copies, or to one that the expected loads from disk do not need.
         """
-        limit = max(1, round(_STORE_LOAD_FRACTION * len(self.fleet)))
-        if self.available_store_starts <= 0 or self.active_store_loads >= limit:
+        if self.available_store_starts <= 0:
+            return False
+        if self.active_store_loads >= self._max_store_loads(model):
             return False
         if self._needed_for_adapters(engine):
             return False
-        if uncached or need.rate >= _BUSY_REQUESTS_PER_S:
+        if model not in self.cached or need.rate >= _BUSY_REQUESTS_PER_S:
             return True
         max_cached = max(len(e.on_disk) for e in self.fleet)
         if 2 * len(engine.on_disk) <= max_cached:
@@ -338,6 +337,18 @@
         )
         return len(self.available) > max(1, math.ceil(rare_rate * _DISK_SWAP_S))
 
+    def _max_store_loads(self, model: str) -> int:
+        """Returns how many store loads may be in progress with this one.
+
+        The load of a model that is cached elsewhere leaves one for models that
+        only the store has.
+        """
+        store_limit = self.store.max_concurrency
+        if model in self.cached:
+            store_limit -= 1
+        engine_limit = round(_STORE_LOAD_FRACTION * len(self.fleet))
+        return max(1, min(store_limit, engine_limit))
+
     def _choose_evictions(
         self, engine: engines.Engine, model: str
     ) -> tuple[str, ...] | None:
--- a/src/monsoonhinge/fleet/placement_plan.py
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -49,10 +49,12 @@
     Attributes:
         active_loads: Loads in progress.
         available_starts: Loads that may start now within the rate limit.
+        max_concurrency: Loads that may be in progress at once.
     """
 
     active_loads: int
     available_starts: int
+    max_concurrency: int
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/fleet/swaps.py
+++ b/src/monsoonhinge/fleet/swaps.py
@@ -32,7 +32,7 @@
         *,
         engine: engines.Engine,
         channel: orders.Channel,
-        store_limiter: weightstore.StoreRateLimiter,
+        store_limiter: weightstore.StoreLimiter,
         on_change: Callable[[], None],
     ) -> None:
         self.engine = engine
@@ -47,13 +47,20 @@
             orders.LeaseLostError: The lease is not held, or another member
                 sends orders now.
         """
+        accepted = False
         try:
             for name in swap.evictions:
                 if not await self._unload(name):
                     return False
-            return await self._load(swap)
+            accepted = await self._load(swap)
+            return accepted
         finally:
-            self._store_limiter.record_finish(swap.target, swap.model)
+            self._store_limiter.record_finish(
+                swap.target,
+                swap.model,
+                loaded=accepted,
+                now=asyncio.get_running_loop().time(),
+            )
             self.engine.swapping = False
 
     async def _unload(self, model: str) -> bool:
@@ -72,7 +79,10 @@
         loop = asyncio.get_running_loop()
         if swap.from_store:
             self._store_limiter.record_start(
-                swap.target, swap.model, loop.time()
+                swap.target,
+                swap.model,
+                full_speed_s=swap.load_s,
+                now=loop.time(),
             )
         outcome = await self.channel.execute(load=True, model=swap.model)
         if outcome is orders.Outcome.REFUSED:
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -78,7 +78,7 @@
         self._traffic = traffic
         self._limits = limits
         self._store_concurrency = store_concurrency
-        self._store = weightstore.StoreRateLimiter(window_s=5.0)
+        self._store = weightstore.StoreLimiter(window_s=5.0)
         self._waiting: dict[str, list[_Waiting]] = {}
         self._running: list[tuple[float, str, str]] = []
         self._loads: list[_Loading] = []
@@ -158,6 +158,7 @@
             available_starts=self._store.available_starts(
                 loads_per_s=self._limits.loads_per_s, now=now
             ),
+            max_concurrency=self._store.max_concurrency,
         )
 
     def _start(self, swap: placement_plan.Swap, now: float) -> None:
@@ -167,7 +168,9 @@
             engine.finish_unload(name, now)
         engine.begin_load(swap.model, ready_at=now + swap.load_s, now=now)
         if swap.from_store:
-            self._store.record_start(swap.target, swap.model, now)
+            self._store.record_start(
+                swap.target, swap.model, full_speed_s=swap.load_s, now=now
+            )
             self.max_store_loads = max(
                 self.max_store_loads, len(self._store.active_loads)
             )
@@ -188,7 +191,9 @@
         engine = self._by_target[load.swap.target]
         engine.finish_load(load.swap.model, now)
         engine.swapping = False
-        self._store.record_finish(load.swap.target, load.swap.model)
+        self._store.record_finish(
+            load.swap.target, load.swap.model, loaded=True, now=now
+        )
 
 
 def _need(
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -63,7 +63,9 @@
         service=world.SERVICE,
         fleet=fleet,
         needs={world.key(name): need for name, need in needs.items()},
-        store=placement_plan.StoreState(active_loads=0, available_starts=170),
+        store=placement_plan.StoreState(
+            active_loads=0, available_starts=170, max_concurrency=2
+        ),
         now=0.0,
     )
 
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -10,11 +10,12 @@
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import placement
 from monsoonhinge.fleet import placement_plan
-from monsoonhinge.fleet import weightstore
 from tests.fleet import world
 
 _NOW = 10.0
-_STORE = placement_plan.StoreState(active_loads=0, available_starts=10)
+_STORE = placement_plan.StoreState(
+    active_loads=0, available_starts=10, max_concurrency=4
+)
 
 
 def _need(
@@ -204,15 +205,6 @@
     assert not _plan_adapters([engine], {"a9": 1}, {("t1", "m1", "a10")})
 
 
-def test_store_limiter_counts_starts_within_its_window() -> None:
-    """Guards against more load starts in a window than the rate allows."""
-    limiter = weightstore.StoreRateLimiter(window_s=5.0)
-    for number in range(22):
-        limiter.record_start("t", f"m{number}", 0.0)
-    assert limiter.available_starts(loads_per_s=4.5, now=4.9) == 0
-    assert limiter.available_starts(loads_per_s=4.5, now=5.1) == 22
-
-
 def test_demand_of_silent_gateways_expires_but_rates_are_kept() -> None:
     """Guards against loads for requests of a gateway that crashed."""
     tracker = demand.DemandTracker()
