Count a load as complete only when the engine has the model

What callers saw: requests refused as targets_full or not_in_time, since gateways sent them to engines that were still loading the model.

Cause: after 40 checks, 16 s past the expected end, a load counted as complete although the engine reported that it was in progress; so did a load that had failed.

Change: a load in progress is waited for as long as the engine reports it; only checks without a response are limited.

--- a/src/monsoonhinge/fleet/swaps.py
+++ b/src/monsoonhinge/fleet/swaps.py
@@ -14,9 +14,10 @@
 # An engine unloads a model without running requests within this time.
 _UNLOAD_TIMEOUT_S = 0.1
 
-# Interval and number of the checks of a load that is later than expected.
+# Interval of the checks of a load that is later than expected, and number of
+# consecutive checks without a response after which it counts as failed.
 _LOAD_CHECK_INTERVAL_S = 0.4
-_MAX_LOAD_CHECKS = 40
+_MAX_UNANSWERED_CHECKS = 40
 
 
 class SwapExecutor:
@@ -41,24 +42,24 @@
         self._on_change = on_change
 
     async def run(self, swap: placement_plan.Swap) -> bool:
-        """Carries out a swap; returns whether no order was refused.
+        """Carries out a swap; returns whether the model is loaded.
 
         Raises:
             orders.LeaseLostError: The lease is not held, or another member
                 sends orders now.
         """
-        accepted = False
+        loaded = False
         try:
             for name in swap.evictions:
                 if not await self._unload(name):
                     return False
-            accepted = await self._load(swap)
-            return accepted
+            loaded = await self._load(swap)
+            return loaded
         finally:
             self._store_limiter.record_finish(
                 swap.target,
                 swap.model,
-                loaded=accepted,
+                loaded=loaded,
                 now=asyncio.get_running_loop().time(),
             )
             self.engine.swapping = False
@@ -75,7 +76,7 @@
         return True
 
     async def _load(self, swap: placement_plan.Swap) -> bool:
-        """Loads a model; returns whether the engine accepted the order."""
+        """Loads a model; returns whether it is loaded."""
         loop = asyncio.get_running_loop()
         if swap.from_store:
             self._store_limiter.record_start(
@@ -92,7 +93,8 @@
             swap.model, ready_at=started_at + swap.load_s, now=started_at
         )
         self._on_change()
-        await self._wait_until_loaded(swap)
+        if not await self._wait_until_loaded(swap):
+            return False
         self.engine.finish_load(swap.model, loop.time())
         events.emit(
             events.LOADED,
@@ -104,25 +106,33 @@
         )
         return True
 
-    async def _wait_until_loaded(self, swap: placement_plan.Swap) -> None:
+    async def _wait_until_loaded(self, swap: placement_plan.Swap) -> bool:
         """Waits until the engine announces or reports the loaded model.
 
         A load may take seconds longer than expected, because the engine reads
-        from the store if it has evicted the cached copy that it had listed.
+        from the store if it has evicted the cached copy that it had listed, or
+        because others share the speed of the store.
+
+        Returns:
+            Whether the model is loaded.
         """
         timeout_s = swap.load_s + _LOAD_CHECK_INTERVAL_S
-        for _ in range(_MAX_LOAD_CHECKS):
+        unanswered = 0
+        while unanswered < _MAX_UNANSWERED_CHECKS:
             if await self._wait_for_announcement(
                 lambda: swap.model in self.engine.announced_models, timeout_s
             ):
-                return
+                return True
             timeout_s = _LOAD_CHECK_INTERVAL_S
             try:
                 report = await self.channel.fetch_report()
             except engine_client.NoResponseError:
+                unanswered += 1
                 continue
-            if swap.model in report.models or not report.busy:
-                return
+            if not report.busy:
+                return swap.model in report.models
+            unanswered = 0
+        return False
 
     async def _wait_for_announcement(
         self,
