Count the store loads of the previous lease holder

Cause: a new holder of the lease started with no store loads in progress and began as many again, so that those of both holders shared the speed of the store. The class of fault is that of the store limit: state of a shared resource that is kept by one process and lost at a handover.

Change: an engine of unknown state that reports an order in progress counts as a store load until its state is known, about a second if it loads from disk.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -118,7 +118,8 @@
             fleet=service_engines,
             needs=needs,
             store=placement_plan.StoreState(
-                active_loads=len(self._store_limiter.active_loads),
+                active_loads=len(self._store_limiter.active_loads)
+                + sum(engine.busy_while_unknown for engine in service_engines),
                 available_starts=self._store_limiter.available_starts(
                     loads_per_s=limits.loads_per_s, now=now
                 ),
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -63,6 +63,8 @@
         unreachable: Whether a gateway cannot connect to it; its replicas are
             not counted as serving then.
         swapping: Whether a swap of models is in progress.
+        busy_while_unknown: Whether an engine of unknown state reported an order
+            in progress, which may be a store load of an earlier lease holder.
         retry_at: Time before which no swap is planned.
         running_by_model: Running requests of all gateways, by model.
         adapters_in_use: Adapters with running requests, as (model, adapter).
@@ -85,6 +87,7 @@
         self.replicas: dict[str, ModelReplica] = {}
         self.order_count: int | None = None
         self.swapping = False
+        self.busy_while_unknown = False
         self.unreachable = False
         self.retry_at = 0.0
         self.running_by_model: dict[str, int] = {}
@@ -178,6 +181,7 @@
     def apply_report(self, report: engine_client.Report, now: float) -> None:
         """Applies a report that was fetched while no order was pending."""
         self.order_count = report.order_count
+        self.busy_while_unknown = False
         self.in_memory = set(report.in_memory)
         self.on_disk = set(report.on_disk)
         for name in list(self.replicas):
--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -76,6 +76,7 @@
             LeaseLostError: Another member sends orders now.
         """
         first = await self.fetch_report()
+        self.engine.busy_while_unknown = first.busy
         if first.busy:
             return False
         if first.models and not await self._fence(first):
