Give all busy models together half of the memory at most

Cause: the desired replicas of each busy model were a fraction of the engines, 12 or 17 of 30. Those of twelve busy models added up to more than the memory of all engines, so that none of them could be evicted. The class of fault is that of the store limit: a limit for each item that is sized by the fleet and not bounded over all items.

Change: replica_targets shares a bounded part of the memory, a third to a half depending on the demand for other models, among the busy models by their request rates, with the old limit for each. The choice of evictions moves to a module of its own.

--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -8,6 +8,8 @@
 import asyncio
 from collections.abc import Mapping
 import dataclasses
+import math
+import statistics
 from typing import Any
 
 from monsoonhinge.config import ingress
@@ -97,7 +99,7 @@
         self.on_disk = set(registration.on_disk)
         self.announced_models = {model.name for model in registration.models}
         self.announcement_received = asyncio.Event()
-        self._model_configs = {model.name: model for model in limits.models}
+        self._index_models()
         for model in registration.models:
             self.replicas[model.name] = ModelReplica(
                 state=LOADED,
@@ -136,7 +138,16 @@
         """Applies the limits of a new configuration."""
         if limits is not self.limits:
             self.limits = limits
-            self._model_configs = {model.name: model for model in limits.models}
+            self._index_models()
+
+    def _index_models(self) -> None:
+        models = self.limits.models
+        self._model_configs = {model.name: model for model in models}
+        self._mean_model_bytes = (
+            statistics.fmean(model.weights_bytes for model in models)
+            if models
+            else math.inf
+        )
 
     def apply_announcement(
         self, registration: fleet.Registration, now: float
@@ -266,6 +277,10 @@
             else config.weights_bytes
         )
 
+    def model_capacity(self) -> int:
+        """Returns how many models of mean size fit into the memory."""
+        return int(self.limits.weights_bytes // self._mean_model_bytes)
+
     def adapter_bytes(self, model: str) -> int:
         """Returns the memory of one adapter of a model."""
         config = self._model_configs.get(model)
--- /dev/null
+++ b/src/monsoonhinge/fleet/eviction.py
@@ -0,0 +1,87 @@
+"""Chooses which models make room for others; performs no I/O.
+
+Load pattern: models take turns in the memory of an engine, while replicas of
+busy models stay in it and run requests all the time.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+
+from monsoonhinge.fleet import demand
+from monsoonhinge.fleet import engine as engines
+
+# A model is not evicted sooner after its load, so that the requests for which
+# it was loaded have time to arrive.
+_MIN_RESIDENCY_S = 0.25
+
+# Delay of a request whose model was evicted and has no other replica.
+_RELOAD_DELAY_S = 10.0
+
+# Part of that delay which each further replica avoids.
+_REPLICA_DIVISOR = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvictionPolicy:
+    """Rules for the evictions of one planning step.
+
+    Attributes:
+        needs: Demand by model.
+        desired: Desired replicas of each busy model.
+        replica_counts: Replicas by model, with the effects of the swaps that
+            are planned so far.
+        now: Current time in seconds.
+    """
+
+    needs: Mapping[str, demand.Need]
+    desired: Mapping[str, int]
+    replica_counts: Mapping[str, int]
+    now: float
+
+    def cost(self, model: str) -> float:
+        """Returns the expected delay due to an eviction, in seconds."""
+        need = self.needs.get(model)
+        rate = 0.0 if need is None else need.rate
+        other_replicas = max(0, self.replica_counts.get(model, 0) - 1)
+        return rate * _RELOAD_DELAY_S / (1 + _REPLICA_DIVISOR * other_replicas)
+
+    def choose(
+        self, engine: engines.Engine, model: str
+    ) -> tuple[str, ...] | None:
+        """Returns the models to unload for a load; None if it cannot fit."""
+        missing_bytes = engine.size_bytes(model) - engine.free_bytes()
+        if missing_bytes <= 0:
+            return ()
+        candidates = [
+            (self.cost(name), replica.last_used_at, name)
+            for name, replica in engine.replicas.items()
+            if self._may_evict(engine, name, replica)
+        ]
+        evictions = []
+        for _, _, name in sorted(candidates):
+            evictions.append(name)
+            missing_bytes -= engine.size_bytes(name)
+            missing_bytes -= len(
+                engine.replicas[name].adapters
+            ) * engine.adapter_bytes(name)
+            if missing_bytes <= 0:
+                return tuple(evictions)
+        return None
+
+    def _may_evict(
+        self, engine: engines.Engine, name: str, replica: engines.ModelReplica
+    ) -> bool:
+        if replica.state != engines.LOADED or engine.running_by_model.get(name):
+            return False
+        if (
+            self.now - replica.state_since < _MIN_RESIDENCY_S
+            and replica.last_used_at
+        ):
+            return False
+        need = self.needs.get(name)
+        if need is None:
+            return True
+        replica_count = self.replica_counts[name]
+        if name in self.desired:
+            return replica_count > self.desired[name]
+        return replica_count > 1 or not need.waiting
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -13,7 +13,9 @@
 
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import eviction
 from monsoonhinge.fleet import placement_plan
+from monsoonhinge.fleet import replica_targets
 
 # Value of a request that misses its deadline, relative to one that meets it.
 _LATE_REQUEST_WEIGHT = 0.15
@@ -24,27 +26,10 @@
 # Expected arrivals within this time add to the value of a load.
 _DEMAND_HORIZON_S = 8.0
 
-# A model is not evicted sooner after its load, so that the requests for which
-# it was loaded have time to arrive.
-_MIN_RESIDENCY_S = 0.25
-
-# Request rate from which a model is treated as busy.
-_BUSY_REQUESTS_PER_S = 0.8
-
-# Replicas of a busy model as a fraction of the engines. They tolerate the loss
-# of an engine; with adapters, one engine can load an adapter while another
-# swaps models.
-_BUSY_REPLICA_FRACTION = 0.4
-_BUSY_ADAPTER_REPLICA_FRACTION = 0.55
-
 # Time for which a swap from local disk occupies an engine. It determines how
 # many engines are kept free of store loads for rarely used models.
 _DISK_SWAP_S = 1.5
 
-# Rate of adapter requests from which the last available replica of a model is
-# kept free of store loads.
-_BUSY_ADAPTER_REQUESTS_PER_S = 0.3
-
 # Concurrent store loads as a fraction of the engines. A store load occupies an
 # engine for seconds, in which it cannot carry out other loads.
 _STORE_LOAD_FRACTION = 0.4
@@ -99,6 +84,7 @@
             and now >= engine.retry_at
         }
         self.store = store
+        self.desired = replica_targets.desired_replicas(fleet, self.needs)
         self.available_store_starts = store.available_starts
         self.active_store_loads = store.active_loads
         # Replicas that serve, with the effects of the swaps of this plan.
@@ -114,6 +100,12 @@
             if not engine.unreachable and engine.order_count is not None
             for model in (*engine.in_memory, *engine.on_disk)
         }
+        self.evictions = eviction.EvictionPolicy(
+            needs=self.needs,
+            desired=self.desired,
+            replica_counts=self.replica_counts,
+            now=now,
+        )
         self.plan = placement_plan.Plan()
 
     def load_waiting(self) -> None:
@@ -121,7 +113,8 @@
         candidates = [
             (model, need)
             for model, need in self._unserved()
-            if model in self.cached or need.rate >= _BUSY_REQUESTS_PER_S
+            if model in self.cached
+            or need.rate >= replica_targets.BUSY_REQUESTS_PER_S
         ]
         candidates.sort(key=lambda item: self._load_order(*item))
         for model, need in candidates:
@@ -138,7 +131,7 @@
             (model, need)
             for model, need in self._unserved()
             if model not in self.cached
-            and need.rate < _BUSY_REQUESTS_PER_S
+            and model not in self.desired
             and need.latest_queue_deadline - self.now
             >= self._shortest_load_s(model)
         ]
@@ -164,37 +157,25 @@
 
     def replicate_busy(self) -> None:
         """Adds replicas of busy models that have too few."""
-        busy = [
-            (model, need)
-            for model, need in self.needs.items()
-            if need.rate >= _BUSY_REQUESTS_PER_S
-        ]
-        busy.sort(key=lambda item: -item[1].rate)
-        for model, need in busy:
-            if self.replica_counts[model] < self._desired_replicas(need):
-                self._plan_load(model, need, "busy")
+        for model in self._busiest_first():
+            if self.replica_counts[model] < self.desired[model]:
+                self._plan_load(model, self.needs[model], "busy")
 
     def fill_empty_engines(self) -> None:
         """Loads the busiest models on engines without any model."""
-        for model, need in sorted(
-            self.needs.items(), key=lambda item: -item[1].rate
-        ):
-            if need.rate < _BUSY_REQUESTS_PER_S:
-                return
+        for model in self._busiest_first():
             empty = {
                 target: engine
                 for target, engine in self.available.items()
                 if not engine.replicas
             }
-            missing = self.replica_counts[model] < self._desired_replicas(need)
-            if empty and missing:
-                self._plan_load(model, need, "empty", among=empty)
+            if not empty:
+                return
+            if self.replica_counts[model] < self.desired[model]:
+                self._plan_load(model, self.needs[model], "empty", among=empty)
 
-    def _desired_replicas(self, need: demand.Need) -> int:
-        share = _BUSY_REPLICA_FRACTION
-        if need.adapter_rate >= _BUSY_ADAPTER_REQUESTS_PER_S:
-            share = _BUSY_ADAPTER_REPLICA_FRACTION
-        return min(len(self.fleet), max(1, math.ceil(share * len(self.fleet))))
+    def _busiest_first(self) -> list[str]:
+        return sorted(self.desired, key=lambda model: -self.needs[model].rate)
 
     def _load_order(self, model: str, need: demand.Need) -> tuple[float, float]:
         """Returns a sort key that puts the most value per load time first.
@@ -232,11 +213,11 @@
             if not engine.is_configured(model) or model in engine.replicas:
                 continue
             from_store = engine.loads_from_store(model)
-            if from_store and not self._may_use_store(engine, model, need):
-                if obstacle is placement_plan.Obstacle.NO_ENGINE:
+            if from_store and not self._may_use_store(engine, model):
+                if model not in self.cached:
                     obstacle = placement_plan.Obstacle.STORE
                 continue
-            evictions = self._choose_evictions(engine, model)
+            evictions = self.evictions.choose(engine, model)
             if evictions is None:
                 obstacle = placement_plan.Obstacle.NO_EVICTION
                 continue
@@ -274,7 +255,7 @@
         need: demand.Need,
     ) -> float:
         """Returns the weighted delay of requests due to a swap, in seconds."""
-        eviction_cost = sum(self._eviction_cost(name) for name in evictions)
+        eviction_cost = sum(self.evictions.cost(name) for name in evictions)
         # An engine cannot load adapters while it loads a model.
         adapter_delay = load_s * sum(
             self.needs[name].rate
@@ -283,13 +264,6 @@
         )
         return load_s * (1 + need.waiting) + eviction_cost + adapter_delay
 
-    def _eviction_cost(self, model: str) -> float:
-        """Returns the expected delay due to an eviction, in seconds."""
-        need = self.needs.get(model)
-        rate = 0.0 if need is None else need.rate
-        other_replicas = self.replica_counts[model] - 1
-        return rate * 10.0 / (1 + 4 * max(0, other_replicas))
-
     def _needed_for_adapters(self, engine: engines.Engine) -> bool:
         """Returns whether no other available engine could load its adapters."""
         for model, replica in engine.replicas.items():
@@ -297,7 +271,8 @@
             if (
                 need is None
                 or replica.state != engines.LOADED
-                or need.adapter_rate < _BUSY_ADAPTER_REQUESTS_PER_S
+                or need.adapter_rate
+                < replica_targets.BUSY_ADAPTER_REQUESTS_PER_S
             ):
                 continue
             if not any(
@@ -310,9 +285,7 @@
                 return True
         return False
 
-    def _may_use_store(
-        self, engine: engines.Engine, model: str, need: demand.Need
-    ) -> bool:
+    def _may_use_store(self, engine: engines.Engine, model: str) -> bool:
         """Returns whether an engine may start a load from the store.
 
         In the same time the engine could load several models from its own
@@ -325,15 +298,15 @@
             return False
         if self._needed_for_adapters(engine):
             return False
-        if model not in self.cached or need.rate >= _BUSY_REQUESTS_PER_S:
+        if model not in self.cached or model in self.desired:
             return True
         max_cached = max(len(e.on_disk) for e in self.fleet)
         if 2 * len(engine.on_disk) <= max_cached:
             return True
         rare_rate = sum(
             item.rate
-            for item in self.needs.values()
-            if item.rate < _BUSY_REQUESTS_PER_S
+            for name, item in self.needs.items()
+            if name not in self.desired
         )
         return len(self.available) > max(1, math.ceil(rare_rate * _DISK_SWAP_S))
 
@@ -348,44 +321,3 @@
             store_limit -= 1
         engine_limit = round(_STORE_LOAD_FRACTION * len(self.fleet))
         return max(1, min(store_limit, engine_limit))
-
-    def _choose_evictions(
-        self, engine: engines.Engine, model: str
-    ) -> tuple[str, ...] | None:
-        """Returns the models to unload for a load; None if it cannot fit."""
-        missing_bytes = engine.size_bytes(model) - engine.free_bytes()
-        if missing_bytes <= 0:
-            return ()
-        candidates = [
-            (self._eviction_cost(name), replica.last_used_at, name)
-            for name, replica in engine.replicas.items()
-            if self._may_evict(engine, name, replica)
-        ]
-        evictions = []
-        for _, _, name in sorted(candidates):
-            evictions.append(name)
-            missing_bytes -= engine.size_bytes(name)
-            missing_bytes -= len(
-                engine.replicas[name].adapters
-            ) * engine.adapter_bytes(name)
-            if missing_bytes <= 0:
-                return tuple(evictions)
-        return None
-
-    def _may_evict(
-        self, engine: engines.Engine, name: str, replica: engines.ModelReplica
-    ) -> bool:
-        if replica.state != engines.LOADED or engine.running_by_model.get(name):
-            return False
-        if (
-            self.now - replica.state_since < _MIN_RESIDENCY_S
-            and replica.last_used_at
-        ):
-            return False
-        need = self.needs.get(name)
-        if need is None:
-            return True
-        replica_count = self.replica_counts[name]
-        if need.rate >= _BUSY_REQUESTS_PER_S:
-            return replica_count > self._desired_replicas(need)
-        return replica_count > 1 or not need.waiting
