Make room on engines that are full of busy models

Cause: a replica of a busy model runs requests all the time, so that it is never idle enough to be evicted, also where there are more replicas than desired.

Change: where a waiting model with a copy on an engine cannot be loaded, one busy replica there retires: gateways send it no new requests, and it is evicted once it is idle. It is taken of a model with more replicas than desired or, on an engine that holds nothing but busy models, of any with replicas elsewhere. A retiring replica serves again without a load when it is needed. Busy models leave one place of each engine to others. placement_summary shows the replicas of busy models.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -127,8 +127,12 @@
             ),
             now=now,
         )
+        for target, model in plan.reactivations:
+            self.engines[target].reactivate(model, now)
         for swap in plan.swaps:
             self._start_swap(swap, now)
+        for target, model in plan.retirements:
+            self._retire(target, model, now)
         for load in adapters.plan(
             service=name,
             fleet=service_engines,
@@ -290,6 +294,16 @@
         )
         self._spawn(swap.target, self._run_swap(engine, swap))
 
+    def _retire(self, target: str, model: str, now: float) -> None:
+        self.engines[target].retire(model, now)
+        events.emit(
+            events.PLACEMENT,
+            target=target,
+            model=model,
+            reason="retired",
+            fencing=self.fencing,
+        )
+
     async def _run_swap(
         self, engine: engines.Engine, swap: placement_plan.Swap
     ) -> None:
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -19,6 +19,8 @@
 LOADED = "loaded"
 LOADING = "loading"
 UNLOADING = "unloading"
+# Loaded, but gateways send no new requests, so that it can be evicted soon.
+RETIRING = "retiring"
 
 # Delayed announcements can be this old when they arrive.
 _MAX_ANNOUNCEMENT_AGE_S = 5.0
@@ -36,7 +38,7 @@
     """A model that is or may be in the memory of an engine.
 
     Attributes:
-        state: ``loaded``, ``loading`` or ``unloading``.
+        state: ``loaded``, ``loading``, ``unloading`` or ``retiring``.
         state_since: Time of the last state change.
         ready_at: Time at which a loading model is expected to be ready.
         adapters: Last use of each adapter that is or may be loaded.
@@ -181,7 +183,7 @@
         for name, replica in list(self.replicas.items()):
             if (
                 name in announced
-                or replica.state != LOADED
+                or replica.state not in (LOADED, RETIRING)
                 or now - replica.state_since < _MAX_ANNOUNCEMENT_AGE_S
             ):
                 continue
@@ -239,6 +241,18 @@
         if replica is not None:
             replica.state, replica.state_since = UNLOADING, now
 
+    def retire(self, model: str, now: float) -> None:
+        """Records that a loaded model gets no new requests."""
+        replica = self.replicas.get(model)
+        if replica is not None and replica.state == LOADED:
+            replica.state, replica.state_since = RETIRING, now
+
+    def reactivate(self, model: str, now: float) -> None:
+        """Records that a retiring model gets requests again."""
+        replica = self.replicas.get(model)
+        if replica is not None and replica.state == RETIRING:
+            replica.state, replica.state_since = LOADED, now
+
     def finish_unload(self, model: str, now: float) -> None:
         """Records that the engine accepted an unload."""
         self.replicas.pop(model, None)
--- a/src/monsoonhinge/fleet/eviction.py
+++ b/src/monsoonhinge/fleet/eviction.py
@@ -53,7 +53,11 @@
         if missing_bytes <= 0:
             return ()
         candidates = [
-            (self.cost(name), replica.last_used_at, name)
+            (
+                0.0 if replica.state == engines.RETIRING else self.cost(name),
+                replica.last_used_at,
+                name,
+            )
             for name, replica in engine.replicas.items()
             if self._may_evict(engine, name, replica)
         ]
@@ -68,11 +72,33 @@
                 return tuple(evictions)
         return None
 
+    def choose_retirement(self, engine: engines.Engine) -> str | None:
+        """Returns the busy model whose replica on an engine retires, if any.
+
+        Busy models run requests all the time, so that their replicas are never
+        idle enough to be evicted. One then gets no more requests here: of a
+        model with more replicas than desired, or, on an engine whose memory is
+        full of busy models, of any with replicas elsewhere.
+        """
+        states = {replica.state for replica in engine.replicas.values()}
+        if states != {engines.LOADED}:
+            return None
+        busy = [name for name in engine.replicas if name in self.desired]
+        full = len(busy) == len(engine.replicas)
+        candidates = [
+            (self.cost(name), name)
+            for name in busy
+            if self.replica_counts[name] > (1 if full else self.desired[name])
+        ]
+        return min(candidates)[1] if candidates else None
+
     def _may_evict(
         self, engine: engines.Engine, name: str, replica: engines.ModelReplica
     ) -> bool:
-        if replica.state != engines.LOADED or engine.running_by_model.get(name):
+        if engine.running_by_model.get(name):
             return False
+        if replica.state != engines.LOADED:
+            return replica.state == engines.RETIRING
         if (
             self.now - replica.state_since < _MIN_RESIDENCY_S
             and replica.last_used_at
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -55,6 +55,7 @@
     planner.load_waiting()
     planner.load_uncached()
     planner.replicate_busy()
+    planner.retire_replicas()
     return planner.plan
 
 
@@ -94,19 +95,24 @@
             for model in engine.replicas
             if engine.serves(model)
         )
-        self.cached = {
+        self.cached = collections.Counter(
             model
             for engine in fleet
             if not engine.unreachable and engine.order_count is not None
-            for model in (*engine.in_memory, *engine.on_disk)
-        }
+            for model in engine.in_memory | engine.on_disk
+        )
         self.evictions = eviction.EvictionPolicy(
             needs=self.needs,
             desired=self.desired,
             replica_counts=self.replica_counts,
             now=now,
         )
-        self.plan = placement_plan.Plan()
+        self.plan = placement_plan.Plan(
+            busy_replicas=sum(
+                self.replica_counts[model] for model in self.desired
+            ),
+            desired_replicas=sum(self.desired.values()),
+        )
 
     def load_waiting(self) -> None:
         """Loads models with waiting requests, most valuable load first."""
@@ -174,6 +180,36 @@
             if self.replica_counts[model] < self.desired[model]:
                 self._plan_load(model, self.needs[model], "empty", among=empty)
 
+    def retire_replicas(self) -> None:
+        """Makes room on engines that are full of busy models.
+
+        These are engines with a copy of a model that waits because nothing may
+        be evicted.
+        """
+        held_up = {
+            model
+            for model, obstacle in self.plan.obstacles.items()
+            if obstacle is placement_plan.Obstacle.NO_EVICTION
+        }
+        for engine in self.available.values():
+            if held_up.isdisjoint(engine.on_disk | engine.in_memory):
+                continue
+            model = self.evictions.choose_retirement(engine)
+            if model is not None:
+                self.replica_counts[model] -= 1
+                self.plan.retirements.append((engine.target, model))
+
+    def _reactivate(self, model: str) -> bool:
+        """Uses a retiring replica again; returns whether there is one."""
+        for engine in self.available.values():
+            replica = engine.replicas.get(model)
+            if replica is not None and replica.state == engines.RETIRING:
+                del self.available[engine.target]
+                self.replica_counts[model] += 1
+                self.plan.reactivations.append((engine.target, model))
+                return True
+        return False
+
     def _busiest_first(self) -> list[str]:
         return sorted(self.desired, key=lambda model: -self.needs[model].rate)
 
@@ -209,9 +245,13 @@
     ) -> None:
         best: tuple[float, placement_plan.Swap] | None = None
         obstacle = placement_plan.Obstacle.NO_ENGINE
+        if need.waiting and self._reactivate(model):
+            return
         for engine in (self.available if among is None else among).values():
             if not engine.is_configured(model) or model in engine.replicas:
                 continue
+            if model in self.desired and self._is_full_of_busy_models(engine):
+                continue
             from_store = engine.loads_from_store(model)
             if from_store and not self._may_use_store(engine, model):
                 if model not in self.cached:
@@ -247,6 +287,14 @@
         self.replica_counts.subtract(swap.evictions)
         self.plan.swaps.append(swap)
 
+    def _is_full_of_busy_models(self, engine: engines.Engine) -> bool:
+        """Returns whether one more would leave no room for other models."""
+        busy_count = sum(
+            name in self.desired and replica.state != engines.RETIRING
+            for name, replica in engine.replicas.items()
+        )
+        return busy_count >= max(1, engine.model_capacity() - 1)
+
     def _swap_cost(
         self,
         engine: engines.Engine,
--- a/src/monsoonhinge/fleet/placement_plan.py
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -63,9 +63,21 @@
 
     Attributes:
         swaps: Swaps to start now, at most one for each engine.
+        retirements: Replicas that get no new requests from now on, as (target,
+            model).
+        reactivations: Retiring replicas that get requests again, as (target,
+            model).
+        busy_replicas: Replicas of busy models.
+        desired_replicas: Desired replicas of busy models.
         obstacles: Models with waiting requests for which no load was planned,
             with the reason.
     """
 
     swaps: list[Swap] = dataclasses.field(default_factory=list)
+    retirements: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    reactivations: list[tuple[str, str]] = dataclasses.field(
+        default_factory=list
+    )
+    busy_replicas: int = 0
+    desired_replicas: int = 0
     obstacles: dict[str, Obstacle] = dataclasses.field(default_factory=dict)
--- a/src/monsoonhinge/fleet/placement_report.py
+++ b/src/monsoonhinge/fleet/placement_report.py
@@ -86,6 +86,8 @@
             obstacles=dict(obstacles),
             held_up_requests=held_up_requests,
             store_loads=len(store_loads),
+            busy_replicas=plan.busy_replicas,
+            desired_replicas=plan.desired_replicas,
             longest_step_s=round(longest_s, 4),
         )
 
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -149,6 +149,10 @@
             store=self._store_state(now),
             now=now,
         )
+        for target, model in plan.reactivations:
+            self._by_target[target].reactivate(model, now)
+        for target, model in plan.retirements:
+            self._by_target[target].retire(model, now)
         for swap in plan.swaps:
             self._start(swap, now)
 
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -123,3 +123,35 @@
     )
     plan = _plan(fleet, {"rare299": need})
     assert [swap.model for swap in plan.swaps] == ["rare299"]
+
+
+def test_engine_full_of_busy_models_makes_room() -> None:
+    """Guards against copies that cannot be loaded next to busy replicas.
+
+    A replica that always runs requests is never idle enough to be evicted.
+    """
+    full = world.engine("t1", models=("m1", "m2", "m3"), on_disk=("m9",))
+    other = world.engine("t2", models=("m1", "m2", "m3"))
+    fleet = [full, other]
+    for engine in fleet:
+        engine.update_usage({(name, ""): 2 for name in engine.replicas}, 0.0)
+    busy = {name: demand.Need(rate=6.5) for name in ("m1", "m2", "m3")}
+    waiting = busy | {"m9": demand.Need(rate=0.069, waiting=1)}
+    plan = _plan(fleet, waiting)
+    assert plan.obstacles == {"m9": placement_plan.Obstacle.NO_EVICTION}
+    ((target, retiring),) = plan.retirements
+    assert target == "t1"
+    full.retire(retiring, 0.0)
+    assert not _plan(fleet, waiting).retirements
+    full.update_usage({}, 1.0)
+    (swap,) = _plan(fleet, waiting).swaps
+    assert (swap.model, swap.evictions) == ("m9", (retiring,))
+
+
+def test_retiring_replica_serves_again_when_it_is_needed() -> None:
+    """Guards against a load of a model that an engine still holds."""
+    holder = world.engine("t1", models=("m1", "m2", "m3"))
+    holder.retire("m1", 0.0)
+    plan = _plan([holder], {"m1": demand.Need(rate=6.5, waiting=1)})
+    assert plan.reactivations == [("t1", "m1")]
+    assert not plan.swaps
--- a/tests/fleet/test_placement_report.py
+++ b/tests/fleet/test_placement_report.py
@@ -23,7 +23,9 @@
         service=world.SERVICE,
         fleet=[free, reading, unknown],
         plan=placement_plan.Plan(
-            obstacles={"m1": placement_plan.Obstacle.NO_EVICTION}
+            busy_replicas=5,
+            desired_replicas=4,
+            obstacles={"m1": placement_plan.Obstacle.NO_EVICTION},
         ),
         needs={world.key("m1"): demand.Need(waiting=3)},
         store_loads={("t2", "m2")},
@@ -46,6 +48,8 @@
         "obstacles": {"no_evictable_model": 1},
         "held_up_requests": 3,
         "store_loads": 1,
+        "busy_replicas": 5,
+        "desired_replicas": 4,
         "longest_step_s": 0.004,
     }
     waiting = metrics.WAITING_MODELS.labels("no_evictable_model")
