Spare the engines with the only copies of models from store loads

Cause: an engine that loads from the store carries out no other load for seconds, and the choice of that engine did not weigh whose copies it has.

Change: the cost of a swap includes the delay of the requests expected meanwhile for models of which the engine has the only copy.

Evidence: tests/fleet/test_large_fleet.py:: test_store_load_spares_an_engine_with_the_only_copies failed before (the engine with the copies was chosen) and passes.

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -310,7 +310,14 @@
             for name, replica in engine.replicas.items()
             if replica.adapters and name in self.needs
         )
-        return load_s * (1 + need.waiting) + eviction_cost + adapter_delay
+        # Nor another model, of which it may have the only cached copy.
+        copy_delay = load_s * sum(
+            self.needs[name].rate
+            for name in engine.in_memory | engine.on_disk
+            if self.cached[name] == 1 and name in self.needs
+        )
+        load_delay = load_s * (1 + need.waiting + copy_delay / 2)
+        return load_delay + eviction_cost + adapter_delay
 
     def _needed_for_adapters(self, engine: engines.Engine) -> bool:
         """Returns whether no other available engine could load its adapters."""
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -155,3 +155,22 @@
     plan = _plan([holder], {"m1": demand.Need(rate=6.5, waiting=1)})
     assert plan.reactivations == [("t1", "m1")]
     assert not plan.swaps
+
+
+def test_store_load_spares_an_engine_with_the_only_copies() -> None:
+    """Guards against models that wait for the engine of their only copy.
+
+    A store load took 13 to 22 s, in which its engine could load nothing else.
+    """
+    copies = ("m4", "m5", "m6", "m7")
+    holder = world.engine("t1", models=("m1", "m2", "m3"), on_disk=copies)
+    other = world.engine("t2", models=("m1", "m2", "m3"))
+    needs = {name: demand.Need(rate=0.3) for name in copies}
+    needs["m9"] = demand.Need(
+        rate=0.069,
+        waiting=1,
+        earliest_latency_deadline=3.0,
+        latest_queue_deadline=12.0,
+    )
+    (swap,) = _plan([holder, other], needs).swaps
+    assert (swap.model, swap.target) == ("m9", "t2")
