Take a draining target that falls silent for gone

Cause: a target that announced its drain and then left without a word became silent, and gateways use a silent target as a last resort, since a ready one may only be cut off from the control members. It was the last known holder of the model.

Change: a draining target without announcements is gone.

Evidence: tests/fleet/test_registry.py:: test_draining_target_that_falls_silent_is_gone failed before ('silent') and passes. Looked for elsewhere: the directory of the scheduler drops an expired entry whatever its state is.

--- a/src/monsoonhinge/fleet/registry.py
+++ b/src/monsoonhinge/fleet/registry.py
@@ -107,7 +107,8 @@
     def expire(self, now: float) -> list[fleet.Registration]:
         """Marks targets without recent announcements as silent.
 
-        Also drops deregistered and silent targets after the retention time.
+        A draining target without announcements has left. Deregistered and
+        silent targets are dropped after the retention time.
 
         Returns:
             Registrations that changed.
@@ -122,7 +123,8 @@
                 entry.announced_at is not None
                 and now - entry.announced_at > self.silent_after_s
             ):
-                changed.append(self._set_state(entry, SILENT, now))
+                left = GONE if state == DRAINING else SILENT
+                changed.append(self._set_state(entry, left, now))
         return changed
 
     def ready_registrations(self) -> list[fleet.Registration]:
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -125,3 +125,15 @@
         targets.merge(world.registration(sequence=3, state="silent"), 1.0) == []
     )
     assert targets.ready_registrations()
+
+
+def test_draining_target_that_falls_silent_is_gone() -> None:
+    """Guards against new requests to a target that left without a word.
+
+    Gateways use a silent target as a last resort, since a ready one may only
+    be cut off from the control members.
+    """
+    targets = _registry()
+    targets.record_announcement(world.registration(state="draining"), 0.0)
+    (changed,) = targets.expire(_SILENT_S + 0.1)
+    assert changed.state == registry.GONE
