Try a silent target that cannot be reached less often

Cause: each gateway connected once a second to a target that was gone but not deregistered, with every request that waited for one of its models. These attempts used up the attempts of the requests and the retry budget of the gateway.

Change: after a failed connection a silent target is left alone for ten seconds, or until it announces itself. A ready target is still tried after a second. The unused constant _PLACEMENT_EXPIRY_S goes.

Evidence: tests/ingress/test_decisions.py:: test_silent_target_is_not_tried_again_every_second fails with a delay of one second and passes.

--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -130,8 +130,7 @@
                 response = await self._send(target, sent_at)
             except forward.NotSent as error:
                 self._change_running(target, -1)
-                now = self._loop.time()
-                target.unreachable_until = now + target_table.RECONNECT_DELAY_S
+                target.record_connect_failure(self._loop.time())
                 self._context.dispatch_at(target.unreachable_until)
                 self._record_failure(target, "unreachable", error)
                 self._count_rejection(error.peer)
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -17,11 +17,11 @@
 MISSING_RECHECK_S = 0.08
 
 # Delay until a target to which a connection failed is used again.
-RECONNECT_DELAY_S = 1.0
+_RECONNECT_DELAY_S = 1.0
 
-# Intended lifetime of the placements of a member that sends no more updates;
-# not enforced.
-_PLACEMENT_EXPIRY_S = 6.0
+# The same for a target that has also stopped announcing itself, and is
+# probably gone.
+_SILENT_RECONNECT_DELAY_S = 10.0
 
 # After a deregistration, announcements that were sent before it may still
 # arrive for this long and are ignored. The control members wait slightly
@@ -90,6 +90,13 @@
         """Records that the target refused a request for a model or adapter."""
         self.missing_until[model, adapter] = now + MISSING_RECHECK_S
 
+    def record_connect_failure(self, now: float) -> None:
+        """Records that a connection to the target could not be established."""
+        silent = self.registration.state == SILENT
+        self.unreachable_until = now + (
+            _SILENT_RECONNECT_DELAY_S if silent else _RECONNECT_DELAY_S
+        )
+
     def serves(self, model: str, adapter: str, now: float) -> bool:
         """Returns whether the target can serve a model and adapter now."""
         adapters = self.models.get(model)
@@ -133,6 +140,8 @@
             target is not None
             and target.registration.incarnation == registration.incarnation
         ):
+            if target.registration.state == SILENT:
+                target.unreachable_until = 0.0
             target.registration = registration
         else:
             self._remove_predecessors(registration)
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -279,6 +279,24 @@
     assert target.serves("m", "", 1.5)
 
 
+def test_silent_target_is_not_tried_again_every_second() -> None:
+    """Guards against requests that are sent to a target that is gone.
+
+    They used up the attempts of the requests and the retry budget.
+    """
+    table = target_table.TargetTable()
+    models = [fleet.HeldModel(name="m")]
+    table.register(_registration("a", models=models), 0.0)
+    table.register(_registration("a", models=models, state="silent"), 1.0)
+    target = table.by_name["a"]
+    target.record_connect_failure(2.0)
+    assert not target.serves("m", "", 5.0)
+    assert target.serves("m", "", 20.0)
+    target.record_connect_failure(20.0)
+    table.register(_registration("a", models=models, sequence=2), 21.0)
+    assert target.serves("m", "", 21.0)
+
+
 def test_waiting_request_is_dispatched_once_the_model_is_loaded() -> None:
     """Guards against requests that wait although the model is loaded."""
 
