Give up responses of targets that never end

A gateway read such a body until its memory or the deadline of the request ended, and a control member that of a report or an order.

Cause: a buffered response had no limit of its size; a body that ends with its connection was read before it was rejected; aiohttp limits header lines and their number but not the interim responses before a final one. It is the same fault in the clients of the ingress, of the engines and of the scheduler's orders.

Change: targets/bounded_http limits interim responses and buffered bodies for all of them: 4 MiB for a response to a caller, 1 MiB for a report or an order, 64 KiB for an order of the scheduler. The gateway's record of calls keeps its limit of 16 MiB.

Ruled out by the same test: endless header lines, headers, trailers and bytes that are no response end at limits of aiohttp; an endless event ends at 1 MiB.

Evidence: tests/platform/test_endless_answers.py, 23 cases with a target that sends until the caller closes, at most 32 MiB and 5 s before the gateway closes; 9 of the first 21 cases failed before (interim responses, chunks and bodies without a length, for requests, reports and orders; the test without a limit of its own ran out of 4 GB), all 23 pass in half a second.

--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -1,6 +1,5 @@
 """HTTP client for requests to targets."""
 
-import asyncio
 from collections.abc import AsyncIterator, Iterable, Mapping
 import dataclasses
 
@@ -9,6 +8,7 @@
 import yarl
 
 from monsoonhinge.runtime import errors
+from monsoonhinge.targets import bounded_http
 
 _CHUNK_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 1.0
@@ -86,28 +86,6 @@
     timeout_s: float
 
 
-class _Response(aiohttp.ClientResponse):
-    """A response whose connection can be closed even after it was read.
-
-    A short response is complete before its headers are checked, and aiohttp
-    has returned its connection to the pool by then.
-    """
-
-    transport: asyncio.Transport | None = None
-
-    async def start(
-        self, connection: aiohttp.connector.Connection
-    ) -> aiohttp.ClientResponse:
-        self.transport = connection.transport
-        return await super().start(connection)
-
-    def abort(self) -> None:
-        """Closes the connection, so that it is not reused."""
-        self.close()
-        if self.transport is not None:
-            self.transport.abort()
-
-
 def open_session(*, keepalive_s: float) -> aiohttp.ClientSession:
     """Returns a session for requests to targets; requires a running loop.
 
@@ -117,7 +95,7 @@
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_s),
         cookie_jar=aiohttp.DummyCookieJar(),
-        response_class=_Response,
+        response_class=bounded_http.BoundedResponse,
         auto_decompress=False,
     )
 
@@ -271,7 +249,7 @@
     Args:
         response: Response of a session made by ``open_session``.
     """
-    assert isinstance(response, _Response)
+    assert isinstance(response, bounded_http.BoundedResponse)
     response.abort()
 
 
--- a/src/monsoonhinge/ingress/target_client.py
+++ b/src/monsoonhinge/ingress/target_client.py
@@ -6,11 +6,15 @@
 import aiohttp
 
 from monsoonhinge.gateway import forward
+from monsoonhinge.targets import bounded_http
 
 # Shorter than the idle timeout of the targets, so that requests are rarely sent
 # on a connection that the target is closing.
 _KEEPALIVE_S = 4.0
 
+# A response that is not a stream is buffered until it is complete.
+_MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+
 _SUPPRESSED_DEFAULT_HEADERS = (
     "User-Agent",
     "Accept",
@@ -95,19 +99,23 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             raise self._lost_response_error(error) from error
         if not self.is_delimited:
-            raise forward.AnswerLost(
-                "the response has neither a length nor chunked encoding",
-                step="read",
-                peer=self.peer,
-            )
+            raise self._undelimited_error()
 
     async def body(self) -> bytes:
         """Returns the complete body.
 
         Raises:
-            forward.AnswerLost: See ``chunks``.
+            forward.AnswerLost: See ``chunks``, or the body is too large to be
+                buffered.
         """
-        return b"".join([chunk async for chunk in self.chunks()])
+        if not self.is_delimited:
+            raise self._undelimited_error()
+        try:
+            return await bounded_http.read_body(
+                self._response, max_bytes=_MAX_BUFFERED_BYTES
+            )
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise self._lost_response_error(error) from error
 
     def close(self) -> None:
         """Closes the connection unless the complete response was read."""
@@ -117,6 +125,13 @@
         """Closes the connection and discards unread data."""
         forward.abort_connection(self._response)
 
+    def _undelimited_error(self) -> forward.AnswerLost:
+        return forward.AnswerLost(
+            "the response has neither a length nor chunked encoding",
+            step="read",
+            peer=self.peer,
+        )
+
     def _lost_response_error(self, error: Exception) -> forward.AnswerLost:
         return forward.AnswerLost(
             f"the response is incomplete: {type(error).__name__}",
--- a/src/monsoonhinge/platform/engines.py
+++ b/src/monsoonhinge/platform/engines.py
@@ -10,9 +10,12 @@
 from monsoonhinge.platform import models
 from monsoonhinge.platform import registrations
 from monsoonhinge.platform import wire
+from monsoonhinge.targets import bounded_http
 
 _KEEPALIVE_S = 4.0
 
+_MAX_RESPONSE_BYTES = 1024 * 1024
+
 _RESPONSE_BY_STATUS = {
     202: engine_client.OrderResponse.STARTED,
     200: engine_client.OrderResponse.APPLIED,
@@ -49,6 +52,7 @@
                 limit=0, keepalive_timeout=_KEEPALIVE_S
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
+            response_class=bounded_http.BoundedResponse,
         )
 
     async def close(self) -> None:
@@ -134,7 +138,10 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                return response.status, await response.read()
+                body_bytes = await bounded_http.read_body(
+                    response, max_bytes=_MAX_RESPONSE_BYTES
+                )
+                return response.status, body_bytes
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise engine_client.NoResponseError(
                 f"no response: {type(error).__name__}",
--- a/src/monsoonhinge/targets/http.py
+++ b/src/monsoonhinge/targets/http.py
@@ -5,8 +5,11 @@
 import aiohttp
 
 from monsoonhinge.runtime import errors
+from monsoonhinge.targets import bounded_http
 from monsoonhinge.targets import order_client
 
+_MAX_RESPONSE_BYTES = 64 * 1024
+
 
 class OrderRefused(errors.MonsoonhingeError):
     """The target refused the order and did not act on it."""
@@ -23,7 +26,8 @@
         # Connections are not reused, so that no byte of an order can be sent
         # after its timeout.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True)
+            connector=aiohttp.TCPConnector(force_close=True),
+            response_class=bounded_http.BoundedResponse,
         )
 
     async def close(self) -> None:
@@ -43,7 +47,10 @@
             ) as response:
                 if response.status < 300:
                     return
-                reason = (await response.text())[:200]
+                body = await bounded_http.read_body(
+                    response, max_bytes=_MAX_RESPONSE_BYTES
+                )
+                reason = body.decode(errors="replace")[:200]
         except (aiohttp.ClientError, TimeoutError) as error:
             raise OrderUnknown(
                 f"no response: {error!r}", step=step, peer=address
