Read models without a copy from the store before busy replicas

Cause: empty engines were filled before models without a copy were considered, and those counted only while a request waited that the load could still serve. Under high load most of them are refused before a slot of the store is free.

Change: models without a copy come before further replicas of models that have one. Their value is the number of requests that the load is expected to serve, with those of the next seconds; at least one is required.

Evidence: tests/fleet/test_large_fleet.py:: test_store_serves_models_without_a_copy_before_busy_replicas failed before (the busy model was read) and passes.

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -40,6 +40,9 @@
 _UNCACHED_LOAD_FRACTION = 0.2
 _MIN_IDLE_ENGINES = 2
 
+# Requests that such a load has to serve, at least.
+_MIN_UNCACHED_VALUE = 1.0
+
 
 def plan(
     *,
@@ -51,9 +54,10 @@
 ) -> placement_plan.Plan:
     """Plans the swaps to start now, at most one for each engine."""
     planner = _Planner(service, fleet, needs, store, now)
-    planner.fill_empty_engines()
+    planner.fill_empty_engines(from_store=False)
     planner.load_waiting()
     planner.load_uncached()
+    planner.fill_empty_engines(from_store=True)
     planner.replicate_busy()
     planner.retire_replicas()
     return planner.plan
@@ -127,34 +131,38 @@
             self._plan_load(model, need, "waiting")
 
     def load_uncached(self) -> None:
-        """Loads a rarely used model without a copy, at most one per call.
+        """Loads models without a copy, most valuable first.
 
-        Its requests have to wait long enough for the load to finish. The load
-        takes one idle engine and leaves another for loads from disk, which
-        serve more requests in the same time.
+        Such a load takes one idle engine for seconds, and leaves another for
+        loads from disk, which serve more requests in the same time.
         """
         candidates = [
-            (model, need)
-            for model, need in self._unserved()
+            (self._uncached_value(model, need), model, need)
+            for model, need in self.needs.items()
             if model not in self.cached
             and model not in self.desired
-            and need.latest_queue_deadline - self.now
-            >= self._shortest_load_s(model)
+            and not self.replica_counts[model]
         ]
-        candidates.sort(
-            key=lambda item: (
-                -item[1].waiting * _PRIORITY_FACTOR ** item[1].priority,
-                item[1].latest_queue_deadline,
-            )
-        )
         limit = max(1, round(_UNCACHED_LOAD_FRACTION * len(self.fleet)))
-        may_load = (
-            self.active_store_loads < limit
-            and len(self.available) >= _MIN_IDLE_ENGINES
-        )
-        for model, need in candidates[:1] if may_load else ():
+        candidates.sort(key=lambda item: (-item[0], item[1]))
+        for value, model, need in candidates:
+            if (
+                value < _MIN_UNCACHED_VALUE
+                or self.active_store_loads >= limit
+                or len(self.available) < _MIN_IDLE_ENGINES
+            ):
+                return
             self._plan_load(model, need, "uncopied")
 
+    def _uncached_value(self, model: str, need: demand.Need) -> float:
+        """Returns the number of requests that a load is expected to serve.
+
+        Waiting requests count if they wait long enough for the load to finish.
+        """
+        wait_s = need.latest_queue_deadline - self.now
+        waiting = need.waiting if wait_s >= self._shortest_load_s(model) else 0
+        return waiting + need.rate * _DEMAND_HORIZON_S
+
     def _unserved(self) -> Iterator[tuple[str, demand.Need]]:
         """Yields the models with waiting requests that no engine serves."""
         for model, need in self.needs.items():
@@ -167,17 +175,22 @@
             if self.replica_counts[model] < self.desired[model]:
                 self._plan_load(model, self.needs[model], "busy")
 
-    def fill_empty_engines(self) -> None:
-        """Loads the busiest models on engines without any model."""
+    def fill_empty_engines(self, *, from_store: bool) -> None:
+        """Loads the busiest models on engines without any model.
+
+        Args:
+            from_store: Whether models are loaded that an engine has no copy of.
+        """
         for model in self._busiest_first():
             empty = {
                 target: engine
                 for target, engine in self.available.items()
                 if not engine.replicas
+                and engine.is_configured(model)
+                and engine.loads_from_store(model) == from_store
             }
-            if not empty:
-                return
-            if self.replica_counts[model] < self.desired[model]:
+            missing = self.replica_counts[model] < self.desired[model]
+            if empty and missing:
                 self._plan_load(model, self.needs[model], "empty", among=empty)
 
     def retire_replicas(self) -> None:
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -174,3 +174,26 @@
     )
     (swap,) = _plan([holder, other], needs).swaps
     assert (swap.model, swap.target) == ("m9", "t2")
+
+
+def test_store_serves_models_without_a_copy_before_busy_replicas() -> None:
+    """Guards against a model that stays unserved while the store is busy.
+
+    New engines loaded further replicas of busy models, one after the other,
+    while a model without any copy was asked for 13 times.
+    """
+    full = [
+        world.engine(f"t{number}", models=("m1", "m2", "m3"), on_disk=("m1",))
+        for number in range(2)
+    ]
+    new = [world.engine("t8"), world.engine("t9")]
+    needs = {
+        "m4": demand.Need(rate=5.0),
+        "m1": demand.Need(rate=4.0),
+        # Its requests are refused before a load ends, and others follow.
+        "m15": demand.Need(rate=0.4, waiting=2, latest_queue_deadline=2.0),
+    }
+    full[0].on_disk.add("m4")
+    swaps = _plan([*full, *new], needs).swaps
+    from_store = [swap.model for swap in swaps if swap.from_store]
+    assert from_store == ["m15"]
