Dispatch a waiting request under the limit in force

Cause: capacity was checked with the requirements of the latest request, and the target chosen with those of the request that was popped. With the lower limit no target was found, and start("") raised KeyError.

Change: the limit of the latest request is used for both.

Evidence: tests/gateway/test_dispatch.py failed before (KeyError: '') and passes.

--- a/src/monsoonhinge/gateway/dispatch.py
+++ b/src/monsoonhinge/gateway/dispatch.py
@@ -263,9 +263,15 @@
             self.settle(job, 0)
             waiter.future.set_exception(error)
             return
+        # The limit may have changed while the request waited. The capacity was
+        # checked with the one of the latest request.
+        latest = self._requirements[job.resource]
+        requirements = dataclasses.replace(
+            job.requirements, max_concurrency=latest.max_concurrency
+        )
         target = self._choose_target(
-            job.requirements, job.avoided_targets
-        ) or self._choose_target(job.requirements, ())
+            requirements, job.avoided_targets
+        ) or self._choose_target(requirements, ())
         now = asyncio.get_running_loop().time()
         waiter.future.set_result(
             Slot(
