Spread busy models over the engines

Cause: desired replicas were bounded over the fleet, but not on one engine; and each of any number of busy models got one, also if there was no memory for all of them.

Change: an engine holds at most its share of busy models; where it holds more and keeps others out, one with replicas elsewhere retires. Only as many models count as busy as fit the memory for them, the busiest.

--- a/src/monsoonhinge/fleet/eviction.py
+++ b/src/monsoonhinge/fleet/eviction.py
@@ -28,6 +28,8 @@
     Attributes:
         needs: Demand by model.
         desired: Desired replicas of each busy model.
+        max_busy_models: Busy models on one engine, so that all engines have
+            room for others.
         replica_counts: Replicas by model, with the effects of the swaps that
             are planned so far.
         now: Current time in seconds.
@@ -35,6 +37,7 @@
 
     needs: Mapping[str, demand.Need]
     desired: Mapping[str, int]
+    max_busy_models: int
     replica_counts: Mapping[str, int]
     now: float
 
@@ -77,21 +80,29 @@
 
         Busy models run requests all the time, so that their replicas are never
         idle enough to be evicted. One then gets no more requests here: of a
-        model with more replicas than desired, or, on an engine whose memory is
-        full of busy models, of any with replicas elsewhere.
+        model with more replicas than desired, or, on an engine with more than
+        its share of busy models, of any with replicas elsewhere.
         """
         states = {replica.state for replica in engine.replicas.values()}
         if states != {engines.LOADED}:
             return None
-        busy = [name for name in engine.replicas if name in self.desired]
-        full = len(busy) == len(engine.replicas)
+        above_share = self.busy_models(engine) > self.max_busy_models
         candidates = [
             (self.cost(name), name)
-            for name in busy
-            if self.replica_counts[name] > (1 if full else self.desired[name])
+            for name in engine.replicas
+            if name in self.desired
+            and self.replica_counts[name]
+            > (1 if above_share else self.desired[name])
         ]
         return min(candidates)[1] if candidates else None
 
+    def busy_models(self, engine: engines.Engine) -> int:
+        """Returns how many busy models an engine holds and serves."""
+        return sum(
+            name in self.desired and replica.state != engines.RETIRING
+            for name, replica in engine.replicas.items()
+        )
+
     def _may_evict(
         self, engine: engines.Engine, name: str, replica: engines.ModelReplica
     ) -> bool:
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -108,6 +108,9 @@
         self.evictions = eviction.EvictionPolicy(
             needs=self.needs,
             desired=self.desired,
+            max_busy_models=math.ceil(
+                sum(self.desired.values()) / max(1, len(fleet))
+            ),
             replica_counts=self.replica_counts,
             now=now,
         )
@@ -263,7 +266,7 @@
         for engine in (self.available if among is None else among).values():
             if not engine.is_configured(model) or model in engine.replicas:
                 continue
-            if model in self.desired and self._is_full_of_busy_models(engine):
+            if model in self.desired and not self._may_add_busy(engine):
                 continue
             from_store = engine.loads_from_store(model)
             if from_store and not self._may_use_store(engine, model):
@@ -300,13 +303,9 @@
         self.replica_counts.subtract(swap.evictions)
         self.plan.swaps.append(swap)
 
-    def _is_full_of_busy_models(self, engine: engines.Engine) -> bool:
-        """Returns whether one more would leave no room for other models."""
-        busy_count = sum(
-            name in self.desired and replica.state != engines.RETIRING
-            for name, replica in engine.replicas.items()
-        )
-        return busy_count >= max(1, engine.model_capacity() - 1)
+    def _may_add_busy(self, engine: engines.Engine) -> bool:
+        busy_count = self.evictions.busy_models(engine)
+        return busy_count < self.evictions.max_busy_models
 
     def _swap_cost(
         self,
--- a/src/monsoonhinge/fleet/replica_targets.py
+++ b/src/monsoonhinge/fleet/replica_targets.py
@@ -40,21 +40,23 @@
 ) -> dict[str, int]:
     """Returns the desired replicas of each busy model.
 
-    Each busy model gets one. The others go, one by one, to the model with the
-    most requests for each replica that it would have, until all models have as
-    many as they can use or the memory for busy models is full.
+    The busiest models get one each. The others go, one by one, to the model
+    with the most requests for each replica that it would have, until all models
+    have as many as they can use or the memory for busy models is full.
 
     Args:
         fleet: Engines of the service.
         needs: Demand by model.
     """
+    memory = _memory_for_busy_models(fleet, needs)
+    busiest = sorted(needs, key=lambda model: -needs[model].rate)[:memory]
     busy = {
-        model: need
-        for model, need in needs.items()
-        if need.rate >= BUSY_REQUESTS_PER_S
+        model: needs[model]
+        for model in busiest
+        if needs[model].rate >= BUSY_REQUESTS_PER_S
     }
     result = dict.fromkeys(busy, 1)
-    left = _memory_for_busy_models(fleet, needs) - len(busy)
+    left = memory - len(busy)
     queue = [(-need.rate / 2, model) for model, need in busy.items()]
     heapq.heapify(queue)
     while queue and left > 0:
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -197,3 +197,22 @@
     swaps = _plan([*full, *new], needs).swaps
     from_store = [swap.model for swap in swaps if swap.from_store]
     assert from_store == ["m15"]
+
+
+def test_busy_models_spread_over_the_engines() -> None:
+    """Guards against engines that load one model at a time next to two busy.
+
+    They waited for the requests of the only other model on them to end.
+    """
+    fleet = [
+        world.engine("t1", models=("m1", "m2", "m5"), on_disk=("m9",)),
+        world.engine("t2", models=("m1", "m2", "m6"), on_disk=("m1", "m2")),
+        world.engine("t3", models=("m7", "m8", "m10"), on_disk=("m1", "m2")),
+        world.engine("t4", models=("m7", "m8", "m10"), on_disk=("m1", "m2")),
+    ]
+    for engine in fleet:
+        engine.update_usage({(name, ""): 1 for name in engine.replicas}, 0.0)
+    needs = {name: demand.Need(rate=6.5) for name in ("m1", "m2")}
+    needs["m9"] = demand.Need(rate=0.069, waiting=1)
+    ((target, retiring),) = _plan(fleet, needs).retirements
+    assert (target, retiring in needs) == ("t1", True)
