Keep the value of loads and the reports of tests in one place each

Change: load_value holds the formulas; tests/fleet/world builds reports; the endless answers share one request. A model that is busy by its rate but has no memory among the busy ones is now ordered like other rarely used models, as everywhere else. No other decision changes.

Evidence: the tests of the fleet pass unchanged but for the builder.

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -14,18 +14,10 @@
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import eviction
+from monsoonhinge.fleet import load_value
 from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import replica_targets
 
-# Value of a request that misses its deadline, relative to one that meets it.
-_LATE_REQUEST_WEIGHT = 0.15
-
-# Factor by which the value of a request falls with each priority number.
-_PRIORITY_FACTOR = 0.8
-
-# Expected arrivals within this time add to the value of a load.
-_DEMAND_HORIZON_S = 8.0
-
 # Time for which a swap from local disk occupies an engine. It determines how
 # many engines are kept free of store loads for rarely used models.
 _DISK_SWAP_S = 1.5
@@ -126,10 +118,13 @@
         candidates = [
             (model, need)
             for model, need in self._unserved()
-            if model in self.cached
-            or need.rate >= replica_targets.BUSY_REQUESTS_PER_S
+            if model in self.cached or model in self.desired
         ]
-        candidates.sort(key=lambda item: self._load_order(*item))
+        candidates.sort(
+            key=lambda item: load_value.load_order(
+                self.fleet, item[0], item[1], self.now
+            )
+        )
         for model, need in candidates:
             self._plan_load(model, need, "waiting")
 
@@ -140,7 +135,11 @@
         loads from disk, which serve more requests in the same time.
         """
         candidates = [
-            (self._uncached_value(model, need), model, need)
+            (
+                load_value.uncached_requests(self.fleet, model, need, self.now),
+                model,
+                need,
+            )
             for model, need in self.needs.items()
             if model not in self.cached
             and model not in self.desired
@@ -157,15 +156,6 @@
                 return
             self._plan_load(model, need, "uncopied")
 
-    def _uncached_value(self, model: str, need: demand.Need) -> float:
-        """Returns the number of requests that a load is expected to serve.
-
-        Waiting requests count if they wait long enough for the load to finish.
-        """
-        wait_s = need.latest_queue_deadline - self.now
-        waiting = need.waiting if wait_s >= self._shortest_load_s(model) else 0
-        return waiting + need.rate * _DEMAND_HORIZON_S
-
     def _unserved(self) -> Iterator[tuple[str, demand.Need]]:
         """Yields the models with waiting requests that no engine serves."""
         for model, need in self.needs.items():
@@ -229,29 +219,6 @@
     def _busiest_first(self) -> list[str]:
         return sorted(self.desired, key=lambda model: -self.needs[model].rate)
 
-    def _load_order(self, model: str, need: demand.Need) -> tuple[float, float]:
-        """Returns a sort key that puts the most value per load time first.
-
-        The value of a load covers the waiting requests and the expected
-        arrivals. Waiting requests count less if the load would finish after
-        their deadline.
-        """
-        slack_s = need.earliest_latency_deadline - self.now
-        load_s = self._shortest_load_s(model)
-        waiting = need.waiting * (
-            1.0 if slack_s >= load_s else _LATE_REQUEST_WEIGHT
-        )
-        value = (
-            waiting + need.rate * _DEMAND_HORIZON_S
-        ) * _PRIORITY_FACTOR**need.priority
-        return -value / load_s, slack_s
-
-    def _shortest_load_s(self, model: str) -> float:
-        return min(
-            (e.load_s(model) for e in self.fleet if e.is_configured(model)),
-            default=math.inf,
-        )
-
     def _plan_load(
         self,
         model: str,
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -35,16 +35,7 @@
     async def report(
         self, *, address: str, target: str, timeout_s: float
     ) -> engine_client.Report:
-        return engine_client.Report(
-            models={},
-            busy=target.startswith("busy"),
-            order_count=0,
-            pending_adapters=[],
-            in_memory=[],
-            on_disk=[],
-            waiting=0,
-            running=0,
-        )
+        return world.report({}, busy=target.startswith("busy"))
 
     async def close(self) -> None:
         pass
--- a/tests/fleet/test_engine.py
+++ b/tests/fleet/test_engine.py
@@ -10,21 +10,6 @@
 from tests.fleet import world
 
 
-def _report(
-    models: dict[str, list[str]], *, order_count: int = 0, busy: bool = False
-) -> engine_client.Report:
-    return engine_client.Report(
-        models=models,
-        busy=busy,
-        order_count=order_count,
-        pending_adapters=[],
-        in_memory=[],
-        on_disk=[],
-        waiting=0,
-        running=0,
-    )
-
-
 class _FakeClient:
     """Returns the given responses in order; ``None`` raises no response."""
 
@@ -129,7 +114,7 @@
     """Guards against a loaded model that placement does not know."""
     conflict = engine_client.OrderResponse.CONFLICT
     client = _FakeClient(
-        None, *[conflict] * 9, reports=[_report({"m1": []}, order_count=1)]
+        None, *[conflict] * 9, reports=[world.report({"m1": []}, order_count=1)]
     )
     engine = world.engine()
     outcome = asyncio.run(
@@ -172,7 +157,7 @@
 def test_engine_state_stays_unknown_while_an_order_is_in_progress() -> None:
     """Guards against a load into memory that an earlier holder's load uses."""
     client = _FakeClient(
-        reports=[_report({"m1": []}, order_count=3, busy=True)]
+        reports=[world.report({"m1": []}, order_count=3, busy=True)]
     )
     engine = world.engine(models=("m1",))
     engine.order_count = None
@@ -184,7 +169,7 @@
     """Guards against delayed orders of an earlier lease holder."""
     client = _FakeClient(
         engine_client.OrderResponse.APPLIED,
-        reports=[_report({"m1": []}, order_count=3)],
+        reports=[world.report({"m1": []}, order_count=3)],
     )
     engine = world.engine()
     engine.order_count = None
--- a/tests/fleet/test_swaps.py
+++ b/tests/fleet/test_swaps.py
@@ -44,16 +44,10 @@
     ) -> engine_client.Report:
         self.busy_reports -= 1
         busy = self.busy_reports >= 0
-        return engine_client.Report(
-            models={"m1": []} if self.loads and not busy else {},
-            busy=busy,
-            order_count=1,
-            pending_adapters=[],
-            in_memory=[],
-            on_disk=[],
-            waiting=0,
-            running=0,
-        )
+        models: dict[str, list[str]] = {}
+        if self.loads and not busy:
+            models["m1"] = []
+        return world.report(models, order_count=1, busy=busy)
 
     async def close(self) -> None:
         pass
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -3,6 +3,7 @@
 from monsoonhinge.config import ingress
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import engine_client
 from monsoonhinge.protocol import fleet
 
 SERVICE = "llm"
@@ -76,3 +77,18 @@
 
 def key(name: str) -> demand.ModelKey:
     return demand.ModelKey(SERVICE, name)
+
+
+def report(
+    models: dict[str, list[str]], *, order_count: int = 0, busy: bool = False
+) -> engine_client.Report:
+    return engine_client.Report(
+        models=models,
+        busy=busy,
+        order_count=order_count,
+        pending_adapters=[],
+        in_memory=[],
+        on_disk=[],
+        waiting=0,
+        running=0,
+    )
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -80,8 +80,11 @@
         server.close()
 
 
-async def _request(address: str) -> None:
-    """Sends a request of a caller and reads the answer."""
+@contextlib.asynccontextmanager
+async def _response(
+    address: str,
+) -> AsyncIterator[target_client.TargetResponse]:
+    """Sends a request of a caller and yields the answer."""
     client = target_client.TargetClient()
     try:
         response = await client.send(
@@ -93,33 +96,23 @@
             timeout_s=_DEADLINE_S,
         )
         try:
-            await response.body()
+            yield response
         finally:
             response.abort()
     finally:
         await client.close()
 
 
+async def _request(address: str) -> None:
+    async with _response(address) as response:
+        await response.body()
+
+
 async def _stream(address: str) -> None:
-    """Sends a request of a caller and reads the events of the answer."""
     splitter = event_stream.EventSplitter()
-    client = target_client.TargetClient()
-    try:
-        response = await client.send(
-            method="POST",
-            address=address,
-            path="/",
-            headers={},
-            body=b"",
-            timeout_s=_DEADLINE_S,
-        )
-        try:
-            async for chunk in response.chunks():
-                splitter.feed(chunk)
-        finally:
-            response.abort()
-    finally:
-        await client.close()
+    async with _response(address) as response:
+        async for chunk in response.chunks():
+            splitter.feed(chunk)
 
 
 async def _report(address: str) -> None:
