Report an oversized event of a stream as one, not as a timeout

Change: both cases have an error of their own; only the stall is a timeout.

Evidence: tests/ingress/test_relay.py failed before (timed_out) and passes.

--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -90,13 +90,19 @@
                     chunk = await anext(chunks, None)
                     for event in splitter.feed(chunk or b""):
                         await self._relay_event(target_response, event)
-            except (TimeoutError, event_stream.Oversized) as error:
+            except TimeoutError as error:
                 raise forward.AnswerLost(
-                    "stream stalled, or event too large",
+                    "the stream stalled",
                     step="read",
                     peer=target_response.peer,
                     timed_out=True,
                 ) from error
+            except event_stream.Oversized as error:
+                raise forward.AnswerLost(
+                    "an event of the stream is too large",
+                    step="read",
+                    peer=target_response.peer,
+                ) from error
             if chunk is None:
                 break
         response = await self._start_response(target_response)
