Load models that no engine has a copy of while the fleet is idle

The store stood idle before the traffic.

Cause: a load from the store began only for a request that waited for it, and the store reads few models at once.

Change: while no request waits and at least half of the engines are idle, models without any copy are loaded, the most requested first. Once there is demand, one load is left for it.

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -32,6 +32,9 @@
 _UNCACHED_LOAD_FRACTION = 0.2
 _MIN_IDLE_ENGINES = 2
 
+# Part of the engines that has to be idle for a load that no request needs yet.
+_MIN_IDLE_FRACTION = 0.5
+
 # Requests that such a load has to serve, at least.
 _MIN_UNCACHED_VALUE = 1.0
 
@@ -51,6 +54,7 @@
     planner.load_uncached()
     planner.fill_empty_engines(from_store=True)
     planner.replicate_busy()
+    planner.preload_uncached()
     planner.retire_replicas()
     return planner.plan
 
@@ -156,6 +160,40 @@
                 return
             self._plan_load(model, need, "uncopied")
 
+    def preload_uncached(self) -> None:
+        """Loads models that no engine has a copy of, before they are needed.
+
+        A request for such a model would wait for seconds, or in vain. No
+        request may wait, and most engines have to be idle. Once there is
+        demand, one load is left for it.
+        """
+        limit = self.store.max_concurrency - (1 if self.needs else 0)
+        idle = len(self.available) >= _MIN_IDLE_FRACTION * len(self.fleet)
+        if not idle or any(need.waiting for need in self.needs.values()):
+            return
+        copies = {
+            model
+            for engine in self.fleet
+            for model in (*engine.replicas, *engine.in_memory, *engine.on_disk)
+        }
+        for model in self._configured_models():
+            if self.active_store_loads >= limit:
+                return
+            if model not in copies:
+                need = self.needs.get(model, demand.Need())
+                self._plan_load(model, need, "preload")
+
+    def _configured_models(self) -> list[str]:
+        """Returns the models of the service, most requested first."""
+        if not self.fleet:
+            return []
+        models = [model.name for model in self.fleet[0].limits.models]
+        return sorted(models, key=self._request_rate, reverse=True)
+
+    def _request_rate(self, model: str) -> float:
+        need = self.needs.get(model)
+        return 0.0 if need is None else need.rate
+
     def _unserved(self) -> Iterator[tuple[str, demand.Need]]:
         """Yields the models with waiting requests that no engine serves."""
         for model, need in self.needs.items():
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -216,3 +216,21 @@
     needs["m9"] = demand.Need(rate=0.069, waiting=1)
     ((target, retiring),) = _plan(fleet, needs).retirements
     assert (target, retiring in needs) == ("t1", True)
+
+
+def test_idle_fleet_loads_models_that_no_engine_has_a_copy_of() -> None:
+    """Guards against models that only the store has while it is idle.
+
+    Their first requests were refused after twelve seconds, one after the
+    other, since the store reads few models at once.
+    """
+    fleet = _fleet(busy_replicas=3)
+    for engine in fleet:
+        engine.on_disk -= {"rare298", "rare299"}
+        engine.replicas.pop("rare298", None)
+        engine.replicas.pop("rare299", None)
+    swaps = _plan(fleet, {}).swaps
+    assert {swap.model for swap in swaps} == {"rare298", "rare299"}
+    assert all(swap.from_store for swap in swaps)
+    waiting = {"rare0": demand.Need(rate=0.069, waiting=1)}
+    assert not any(swap.from_store for swap in _plan(fleet, waiting).swaps)
