Raise the limit of store loads only by loads that started at it

Cause: the limit was raised by loads at full speed that had others beside them on average. A store may slow down only the loads that start while it is in use; those that started first then keep their speed and show nothing about the limit.

Change: only a load that started with as many in progress as the limit raises it.

Evidence: test_loads_that_started_first_do_not_raise_the_limit failed before (4 for 3) and passes.

--- a/src/monsoonhinge/fleet/weightstore.py
+++ b/src/monsoonhinge/fleet/weightstore.py
@@ -27,11 +27,13 @@
     Attributes:
         started_at: Time of the load order.
         full_speed_s: Duration at full speed of the store.
+        initial_concurrency: Loads in progress at the start, with this one.
         load_seconds: Value of the limiter's ``_load_seconds`` at the start.
     """
 
     started_at: float
     full_speed_s: float
+    initial_concurrency: int
     load_seconds: float
 
 
@@ -77,7 +79,10 @@
         self._starts.append(now)
         self._reserved.discard((target, model))
         self._active[target, model] = _ActiveLoad(
-            now, full_speed_s, self._load_seconds
+            started_at=now,
+            full_speed_s=full_speed_s,
+            initial_concurrency=len(self._active) + 1,
+            load_seconds=self._load_seconds,
         )
 
     def record_finish(
@@ -98,7 +103,11 @@
             # The store divides its speed among the loads.
             self.max_concurrency = max(1, round(concurrency / slowdown))
             self._raise_at = now + _RAISE_DELAY_S
-        elif concurrency > self.max_concurrency - 0.5 and now >= self._raise_at:
+        elif (
+            load.initial_concurrency >= self.max_concurrency
+            and now >= self._raise_at
+        ):
+            # Loads that started before may keep their speed when others join.
             self.max_concurrency += 1
 
     def _advance(self, now: float) -> None:
--- a/tests/fleet/test_weightstore.py
+++ b/tests/fleet/test_weightstore.py
@@ -64,3 +64,24 @@
     assert limiter.active_loads == {("t0", "m")}
     _finish(limiter, 1, 9.0)
     assert not limiter.active_loads
+
+
+def test_loads_that_started_first_do_not_raise_the_limit() -> None:
+    """Guards against a limit that grows beyond what the store reads at once.
+
+    The store may slow down only the loads that start while it is in use.
+    """
+    limiter = weightstore.StoreLimiter(window_s=5.0)
+    _start(limiter, 2, 0.0)
+    _finish(limiter, 2, _FULL_SPEED_S)
+    assert limiter.max_concurrency == 3
+    _start(limiter, 3, 10.0)
+    for number in range(2):
+        limiter.record_finish(
+            f"t{number}", "m", loaded=True, now=10.0 + _FULL_SPEED_S
+        )
+    assert limiter.max_concurrency == 3
+    limiter.record_finish(
+        "t2", "m", loaded=True, now=10.0 + 1.5 * _FULL_SPEED_S
+    )
+    assert limiter.max_concurrency == 2
