--- a/src/monsoonhinge/ingress/dialect.py
+++ b/src/monsoonhinge/ingress/dialect.py
@@ -7,9 +7,6 @@
 from aiohttp import web
 import multidict
 
-# Lowest priority of a request at a target; 0 is served first.
-MAX_PRIORITY = 9
-
 
 class Malformed(Exception):
     """A request header is invalid."""
