--- a/src/monsoonhinge/fleet/eviction.py
+++ b/src/monsoonhinge/fleet/eviction.py
@@ -28,7 +28,7 @@
     Attributes:
         needs: Demand by model.
         desired: Desired replicas of each busy model.
-        max_busy_models: Busy models on one engine, so that all engines have
+        max_busy_models: Busy models on one engine, so that each engine has
             room for others.
         replica_counts: Replicas by model, with the effects of the swaps that
             are planned so far.
@@ -86,7 +86,7 @@
         states = {replica.state for replica in engine.replicas.values()}
         if states != {engines.LOADED}:
             return None
-        above_share = self.busy_models(engine) > self.max_busy_models
+        above_share = self.busy_model_count(engine) > self.max_busy_models
         candidates = [
             (self.cost(name), name)
             for name in engine.replicas
@@ -96,7 +96,7 @@
         ]
         return min(candidates)[1] if candidates else None
 
-    def busy_models(self, engine: engines.Engine) -> int:
+    def busy_model_count(self, engine: engines.Engine) -> int:
         """Returns how many busy models an engine holds and serves."""
         return sum(
             name in self.desired and replica.state != engines.RETIRING
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -35,7 +35,7 @@
 # Part of the engines that has to be idle for a load that no request needs yet.
 _MIN_IDLE_FRACTION = 0.5
 
-# Requests that such a load has to serve, at least.
+# Requests that a load of a model without a cached copy has to serve, at least.
 _MIN_UNCACHED_VALUE = 1.0
 
 
@@ -60,6 +60,8 @@
 
 
 class _Planner:
+    """One planning step; its methods are the rules, called in their order."""
+
     def __init__(
         self,
         service: str,
@@ -264,6 +266,14 @@
         reason: str,
         among: Mapping[str, engines.Engine] | None = None,
     ) -> None:
+        """Plans the cheapest load of a model, or records why there is none.
+
+        Args:
+            model: Model to load.
+            need: Its demand.
+            reason: Planning rule, for the event log.
+            among: Engines to choose from; all that are available if None.
+        """
         best: tuple[float, placement_plan.Swap] | None = None
         obstacle = placement_plan.Obstacle.NO_ENGINE
         if need.waiting and self._reactivate(model):
@@ -309,7 +319,7 @@
         self.plan.swaps.append(swap)
 
     def _may_add_busy(self, engine: engines.Engine) -> bool:
-        busy_count = self.evictions.busy_models(engine)
+        busy_count = self.evictions.busy_model_count(engine)
         return busy_count < self.evictions.max_busy_models
 
     def _swap_cost(
--- a/src/monsoonhinge/fleet/weightstore.py
+++ b/src/monsoonhinge/fleet/weightstore.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 
-# Concurrent loads before any has shown how fast the store is.
+# Concurrent loads until one has shown how many the store reads at full speed.
 _INITIAL_CONCURRENCY = 2
 
 # A load that takes this multiple of its time at full speed, or more, has
@@ -100,7 +100,7 @@
         concurrency = (self._load_seconds - load.load_seconds) / duration_s
         slowdown = duration_s / load.full_speed_s
         if slowdown >= _SLOW_FACTOR:
-            # The store divides its speed among the loads.
+            # The loads have shared the full speed of fewer.
             self.max_concurrency = max(1, round(concurrency / slowdown))
             self._raise_at = now + _RAISE_DELAY_S
         elif (
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -149,8 +149,9 @@
 class PlacedModel:
     """A model placed on a target.
 
-    ``state`` is ``loaded``, ``loading`` or ``unloading``; ``ready_in_ms`` is
-    the expected time until a loading model serves requests.
+    ``state`` is ``loaded``, ``loading``, ``unloading`` or ``retiring``; only a
+    loaded model gets new requests. ``ready_in_ms`` is the expected time until
+    a loading model serves requests.
     """
 
     name: str = ""
