--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -266,14 +266,7 @@
         reason: str,
         among: Mapping[str, engines.Engine] | None = None,
     ) -> None:
-        """Plans the cheapest load of a model, or records why there is none.
-
-        Args:
-            model: Model to load.
-            need: Its demand.
-            reason: Planning rule, for the event log.
-            among: Engines to choose from; all that are available if None.
-        """
+        """Plans the cheapest load of a model, or records why there is none."""
         best: tuple[float, placement_plan.Swap] | None = None
         obstacle = placement_plan.Obstacle.NO_ENGINE
         if need.waiting and self._reactivate(model):
