Drop decisions that the control members refuse with an error

What callers saw, or would: plans that count replicas which no member has committed, until the lease of the scheduler ends.

Cause: a commit of decisions that failed with another error than a timeout left the coordinator in place, although it had planned with these changes.

Change: such an error drops the coordinator and its lease, like a rejection; a timeout that is tried again is logged.

Evidence: tests/scheduler/test_scheduler_active.py failed before (the coordinator stayed) and passes. The programs of the users' platform do not use this module.

--- a/src/monsoonhinge/scheduler/active.py
+++ b/src/monsoonhinge/scheduler/active.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import logging
 import time
 import uuid
@@ -150,11 +149,18 @@
             fencing=core.orders.fencing, changes=changes
         )
         while self.lease.held(self._now()) and self.core is core:
-            with contextlib.suppress(errors.RequestTimeout):
+            try:
                 result = await self._control.propose(
                     command, commands.Accepted, timeout=_COMMIT_TIMEOUT_S
                 )
-                break
+            except errors.RequestTimeout as error:
+                _LOG.info("decisions are not confirmed yet: %s", error)
+                continue
+            except errors.MonsoonhingeError:
+                # The coordinator has planned with changes that may not exist.
+                self._discard_core(core)
+                raise
+            break
         else:
             self._discard_core(core)
             return
