Log the prompt parts of requests and of failed attempts

No line named what the requests of crashed targets have in common, so that the hypotheses on prompts that crash targets could not be told apart. request and target_ejected lines now name the shared parts of the prompt; target_ejected also says whether the caller had a part of the response.

--- a/src/monsoonhinge/ingress/dialect.py
+++ b/src/monsoonhinge/ingress/dialect.py
@@ -58,6 +58,14 @@
     headers: multidict.CIMultiDict[str]
     body: bytes = b""
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of the prompt parts that other requests may have as well.
+
+        The last part belongs to the request or its session alone.
+        """
+        return [part.part_id for part in self.prompt[:-1]]
+
 
 class ExecutionStatus(enum.Enum):
     """Whether a target ran a request, judged by the response headers.
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -12,6 +12,7 @@
 from monsoonhinge.ingress import readiness
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
+from monsoonhinge.ingress import request_events
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_table
 from monsoonhinge.ingress import timeouts
@@ -351,12 +352,12 @@
         now = self._loop.time()
         self._avoided_targets.add(target.name)
         self._context.balancer.ejections.record_failure(target.name, now)
-        events.emit(
-            events.EJECTED,
-            request_id=self.parsed.request_id,
-            target=target.name,
+        request_events.ejected(
+            parsed=self.parsed,
+            target=target,
             kind=kind,
-            error=str(error),
+            relayed=self.relay.response is not None,
+            error=error,
         )
 
     def _answer_lost_refusal(
@@ -383,17 +384,14 @@
         status: int,
         outcome: str,
     ) -> None:
-        events.emit(
-            events.ATTEMPT,
-            request_id=self.parsed.request_id,
-            target=target.name,
-            model=self.parsed.model,
-            running=target.running_count(),
-            running_elsewhere=target.running_all_gateways,
+        now = self._loop.time()
+        request_events.attempt(
+            parsed=self.parsed,
+            admitted=self.admitted,
+            target=target,
             fencing=self._context.balancer.targets.fencing,
-            config=self.admitted.version,
-            waited_s=round(sent_at - self.limits.arrived_at, 4),
-            head_s=round(self._loop.time() - sent_at, 4),
+            waited_s=sent_at - self.limits.arrived_at,
+            head_s=now - sent_at,
             status=status,
             outcome=outcome,
         )
--- a/src/monsoonhinge/ingress/request_handler.py
+++ b/src/monsoonhinge/ingress/request_handler.py
@@ -221,6 +221,7 @@
             model=executor.parsed.model,
             adapter=executor.parsed.adapter,
             tokens=executor.admitted.tokens,
+            prompt=executor.parsed.shared_parts,
             attempts=executor.attempts,
             rejected=executor.rejections,
             first_byte_s=first_byte_s,
