--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -105,19 +105,24 @@
         self.internal_port = stub.free_port()
         self.control_port = stub.free_port()
         self.ingress_port = stub.free_port()
-        self.servers = [Server("s1"), Server("s2")]
+        self.servers: list[Server] = [Server("s1"), Server("s2")]
         self.members = [
             programs.PlatformControl(self._control(host, path))
             for host in _HOSTS
         ]
-        self.gateway = ingress_process.IngressProcess(
+        self.gateway = self.new_gateway("gateway", self.ingress_port)
+        self.session = aiohttp.ClientSession()
+
+    def new_gateway(
+        self, name: str, port: int
+    ) -> ingress_process.IngressProcess:
+        """Returns a gateway that is not started yet."""
+        return ingress_process.IngressProcess(
             settings.Ingress(
-                node="gateway",
+                node=name,
                 availability_zone="a",
                 operations=settings.Address(host="127.0.0.1", port=1),
-                callers=settings.Address(
-                    host="127.0.0.1", port=self.ingress_port
-                ),
+                callers=settings.Address(host="127.0.0.1", port=port),
                 readiness=settings.Address(
                     host="127.0.0.1", port=stub.free_port()
                 ),
@@ -131,7 +136,6 @@
             ),
             request_dialect=requests.PlatformDialect(),
         )
-        self.session = aiohttp.ClientSession()
 
     def _control(self, host: str, path: pathlib.Path) -> settings.Control:
         return settings.Control.model_validate(
@@ -213,16 +217,22 @@
         )
 
     async def send_request(
-        self, request_id: str, key: str = "k1"
+        self,
+        request_id: str,
+        key: str = "k1",
+        *,
+        prompt: str = "",
+        port: int | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         async with self.session.post(
-            f"http://127.0.0.1:{self.ingress_port}/a/x?q=1",
+            f"http://127.0.0.1:{port or self.ingress_port}/a/x?q=1",
             data=b"body",
             headers={
                 "Host": "h.example",
                 "X-Request-Id": request_id,
                 "X-Model": "m1",
                 "X-Token-Count": "10,20",
+                "X-Prompt-Prefix": prompt,
                 "X-Deadline-Ms": "5000",
                 "X-Tenant": "someone else",
                 "Authorization": f"Bearer {key}",
@@ -248,6 +258,13 @@
 async def running_deployment(path: pathlib.Path) -> AsyncIterator[Deployment]:
     """Yields a deployment that has a configuration and two known servers."""
     deployment = Deployment(path)
+    async with run_deployment(deployment):
+        yield deployment
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(deployment: Deployment) -> AsyncIterator[None]:
+    """Starts a deployment and gives it a configuration and its servers."""
     await deployment.start()
     try:
         await wait_until(
@@ -256,7 +273,7 @@
         for server in deployment.servers:
             assert await deployment.announce(server) == 200
         await wait_until(deployment.is_ready)
-        yield deployment
+        yield
     finally:
         await deployment.stop()
 
