Quarantine prompts that crash one target after the other

Cause: a crash was put down to the target alone. No gateway kept what the request that caused it has in common with those of earlier crashes, and none told another, so that the next request went to the next target. The class of fault: a request that is fatal to whoever serves it (a poison message), met with failover only.

Change: a gateway whose connection breaks as the answer begins asks whether the target still accepts connections; if not, it reports the crash and the shared prompt parts to all control members. These collect crashes over all gateways: what the prompts of three crashed targets share, and no target has answered since, is quarantined for 60 s, twice as long after each relapse. Gateways refuse such requests at once (503, crashes_targets, Retry-After is the time that is left), also those that wait. Members publish which parts they suspect, and gateways report when a target answers one, so that a busy part, or a crash for another reason, does not stop sound requests.

Ruled out: retries (no request id at two crashed targets) and overload.

--- a/src/monsoonhinge/fleet/metrics.py
+++ b/src/monsoonhinge/fleet/metrics.py
@@ -18,3 +18,11 @@
     "Time of a planning step",
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5),
 )
+CRASH_REPORTS = prometheus_client.Counter(
+    "monsoonhinge_fleet_crash_reports_total",
+    "Reports of gateways on crashed targets and what they were to answer",
+)
+QUARANTINES = prometheus_client.Counter(
+    "monsoonhinge_fleet_quarantines_total",
+    "Quarantines of prompts that crash targets",
+)
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -4,7 +4,6 @@
 from collections.abc import Coroutine
 import contextlib
 from typing import Any
-import zlib
 
 from monsoonhinge.config import schema
 from monsoonhinge.consensus import types
@@ -12,13 +11,14 @@
 from monsoonhinge.control import lease_client
 from monsoonhinge.control import process as control_process
 from monsoonhinge.control import seeding
+from monsoonhinge.fleet import config_documents
 from monsoonhinge.fleet import controller
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.fleet import feed
 from monsoonhinge.fleet import leasing
+from monsoonhinge.fleet import quarantines
 from monsoonhinge.fleet import registry as target_registry
-from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
@@ -44,8 +44,6 @@
 # A leader that does not respond is often suspended or partitioned; another
 # member is elected within about a second.
 _ATTEMPT_TIMEOUT_S = 0.6
-_PUBLISH_TIMEOUT_S = 0.9
-_READ_TIMEOUT_S = 0.9
 
 
 class FleetProcess(control_process.ControlProcess):
@@ -61,6 +59,9 @@
         self.feed = feed.Feed(
             registry=self.registry, member_names=self._member_names
         )
+        self.quarantines = quarantines.QuarantinePublisher(
+            broadcast=self.feed.broadcast
+        )
         self.demand_tracker = demand.DemandTracker()
         self.control = control_client.Client(
             members=seeding.with_seed_members(config).members,
@@ -68,6 +69,13 @@
             listener=self,
             attempt_timeout_s=_ATTEMPT_TIMEOUT_S,
         )
+        self.config_documents = config_documents.ConfigDocuments(
+            publisher=config.node,
+            control=self.control,
+            driver=self.driver,
+            replicated_state=self.replicated_state,
+            probe_relay=self.probe_relay,
+        )
         name = f"{config.node}/{self.identity.incarnation}"
         self.lease = lease_client.LeaseClient(
             name=LEASE_NAME, holder=name, control=self.control
@@ -125,6 +133,7 @@
         for task in self._fleet_tasks:
             task.cancel()
         self._stop_controller()
+        self.quarantines.stop()
         await self.control.stop()
         await self._engine_client.close()
         await super().stop()
@@ -171,6 +180,7 @@
                     link, placements_only=message.placements_only
                 )
                 link.notify(self._announced_leases)
+                link.notify(self.quarantines.snapshot(now))
                 if self.controller is not None:
                     link.notify(self.controller.snapshot(now))
                 return messages.Ack()
@@ -183,6 +193,12 @@
                 self.demand_tracker.update(message, now)
                 self._plan_requested.set()
                 return None
+            case fleet.TargetCrash():
+                self.quarantines.record_crash(message, now)
+                return None
+            case fleet.PartsServed():
+                self.quarantines.record_served(message, now)
+                return None
             case messages.GrantRequest():
                 return await self.budgets.grant(message)
             case _:
@@ -209,50 +225,6 @@
         self._publish(self.registry.deregister(target, now))
         return True
 
-    async def replace_config(
-        self, *, version: int, source: bytes, packed: bytes
-    ) -> commands.ConfigResult:
-        """Replaces the configuration unless a higher version is in effect.
-
-        Raises:
-            errors.MonsoonhingeError: No leader confirmed the change in time.
-        """
-        result = await self.control.propose(
-            commands.ReplaceConfig(
-                version=version,
-                publisher=self.config.node,
-                source=zlib.compress(source),
-                packed=packed,
-            ),
-            commands.ConfigResult,
-            timeout=_PUBLISH_TIMEOUT_S,
-        )
-        events.emit(
-            events.CONFIG_CHANGE,
-            version=version,
-            outcome=result.code,
-            in_effect=result.version,
-            message=result.message,
-        )
-        return result
-
-    async def newest_config(self) -> bytes:
-        """Returns the newest configuration document, or b"" without one.
-
-        Raises:
-            errors.MonsoonhingeError: No leader confirmed which is the newest.
-        """
-        state_machine = self.replicated_state.state_machine
-        async with asyncio.timeout(_READ_TIMEOUT_S):
-            if self.driver.is_leader:
-                await self.driver.read()
-            else:
-                fresh = await self.probe_relay.probe(messages.SubscriberState())
-                while state_machine.version < fresh.version:
-                    await self.replicated_state.wait_for_apply()
-        source = state_machine.configuration.source
-        return zlib.decompress(source) if source else b""
-
     def _publish(self, changed: list[fleet.Registration]) -> None:
         if not changed:
             return
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -47,6 +47,7 @@
         listener: control_client.Listener,
         on_registrations: Callable[[list[fleet.Registration]], None],
         on_placements: Callable[[fleet.Placements], None],
+        on_quarantines: Callable[[str, fleet.PromptQuarantines], None],
         current_demand: Callable[[], fleet.FleetDemand],
     ) -> None:
         super().__init__(members=members, identity=identity, listener=listener)
@@ -54,6 +55,7 @@
         self._port = members[0].address.port
         self._on_registrations = on_registrations
         self._on_placements = on_placements
+        self._on_quarantines = on_quarantines
         self._current_demand = current_demand
         # Members to whose registrations this gateway subscribes.
         self._subscribed_members: set[connection.Connection] = set()
@@ -105,6 +107,8 @@
                 self.demand_changed()
             case fleet.Placements():
                 self._on_placements(message)
+            case fleet.PromptQuarantines():
+                self._on_quarantines(link.peer, message)
             case _:
                 return await super().handle(link, message)
         return None
@@ -127,6 +131,18 @@
             request, messages.Grant, timeout=_GRANT_TIMEOUT_S
         )
 
+    def send_evidence(
+        self, report: fleet.TargetCrash | fleet.PartsServed
+    ) -> None:
+        """Sends evidence on prompts to all connected control members.
+
+        Each of them keeps the evidence, so that none is needed to act on it.
+        """
+        for peer in self.peers.values():
+            if peer.connection is not None:
+                with contextlib.suppress(errors.ConnectionLost):
+                    peer.connection.notify(report)
+
     def demand_changed(self) -> None:
         """Schedules a report to the fleet lease holder."""
         if self._demand_timer is None:
--- a/src/monsoonhinge/ingress/gateway_context.py
+++ b/src/monsoonhinge/ingress/gateway_context.py
@@ -4,8 +4,10 @@
 import dataclasses
 
 from monsoonhinge.ingress import admission
+from monsoonhinge.ingress import crash_reports
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import load_balancer
+from monsoonhinge.ingress import prompt_quarantine
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import wait_queue
@@ -21,6 +23,8 @@
         balancer: Chooses the target of a request.
         wait_queue: Requests that wait for a target.
         retry_budget: Budget for retries.
+        quarantine: Prompts that must not reach any target.
+        crash_reporter: Reports crashed targets.
         still_authorized: Returns whether the key of an admitted request is
             still valid.
         demand_changed: Called when a request starts or stops waiting or
@@ -34,6 +38,8 @@
     balancer: load_balancer.LoadBalancer
     wait_queue: wait_queue.WaitQueue
     retry_budget: retry_budget.RetryBudget
+    quarantine: prompt_quarantine.PromptQuarantine
+    crash_reporter: crash_reports.CrashReporter
     still_authorized: Callable[[admission.AdmittedRequest], bool]
     demand_changed: Callable[[], None]
     dispatch_at: Callable[[float], None]
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -10,11 +10,13 @@
 
 from monsoonhinge.config import view as config_view
 from monsoonhinge.ingress import admission
+from monsoonhinge.ingress import crash_reports
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import fleet_client
 from monsoonhinge.ingress import gateway_context
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import metrics
+from monsoonhinge.ingress import prompt_quarantine
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import request_handler
@@ -63,6 +65,7 @@
             targets=self.targets, availability_zone=config.availability_zone
         )
         self.wait_queue = wait_queue.WaitQueue(balancer=self.balancer)
+        self.quarantine = prompt_quarantine.PromptQuarantine()
         self.fleet_client = fleet_client.FleetClient(
             members=[
                 settings.Member(
@@ -77,6 +80,7 @@
             listener=self,
             on_registrations=self._on_registrations,
             on_placements=self._on_placements,
+            on_quarantines=self._on_quarantines,
             current_demand=self._current_demand,
         )
         self.admission = admission.Admission(
@@ -97,6 +101,7 @@
         self.handler: request_handler.RequestHandler | None = None
         self._dialect = request_dialect
         self._target_client: target_client.TargetClient | None = None
+        self._crash_reporter: crash_reports.CrashReporter | None = None
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -104,12 +109,18 @@
         """Starts the listeners and connects to the control members."""
         loop = asyncio.get_running_loop()
         self._target_client = target_client.TargetClient()
+        self._crash_reporter = crash_reports.CrashReporter(
+            refuses_connections=self._target_client.refuses_connections,
+            send=self.fleet_client.send_evidence,
+        )
         context = gateway_context.GatewayContext(
             dialect=self._dialect,
             target_client=self._target_client,
             balancer=self.balancer,
             wait_queue=self.wait_queue,
             retry_budget=self.retry_budget,
+            quarantine=self.quarantine,
+            crash_reporter=self._crash_reporter,
             still_authorized=lambda admitted: self.admission.still_authorized(
                 admitted,
                 view=self.fleet_client.view,
@@ -177,6 +188,8 @@
             task.cancel()
         for runner in self._runners:
             await runner.cleanup()
+        if self._crash_reporter is not None:
+            self._crash_reporter.stop()
         await self.quota.stop()
         await self.fleet_client.stop()
         if self._target_client is not None:
@@ -214,6 +227,7 @@
                 for name, target in self.targets.by_name.items()
             },
             "ejected_until": self.balancer.ejections.ejected_until(),
+            "quarantined_s": self.quarantine.dump(now),
         }
 
     def config_changed(self, view: config_view.View) -> None:
@@ -247,6 +261,17 @@
         if self.targets.apply_placements(message, now):
             self._dispatch_waiting()
 
+    def _on_quarantines(
+        self, member: str, message: fleet.PromptQuarantines
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._crash_reporter is not None:
+            self._crash_reporter.set_suspects(member, message.suspects)
+        if self.quarantine.apply(message, now):
+            self.wait_queue.fail_each(
+                lambda queued: self.quarantine.refusal(queued.shared_parts, now)
+            )
+
     def _refuse_waiting(self) -> None:
         self.wait_queue.fail_all(
             refusal.Refusal(
--- a/src/monsoonhinge/ingress/refusal.py
+++ b/src/monsoonhinge/ingress/refusal.py
@@ -22,6 +22,7 @@
     STOPPING = "stopping"
     TIMEOUT = "timeout"
     ANSWER_LOST = "answer_lost"
+    CRASHES_TARGETS = "crashes_targets"
 
 
 _STATUSES = {
@@ -38,6 +39,7 @@
     Reason.STOPPING: 503,
     Reason.TIMEOUT: 504,
     Reason.ANSWER_LOST: 502,
+    Reason.CRASHES_TARGETS: 503,
 }
 
 
--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -17,6 +17,8 @@
         response: The response to the caller, once sending has started.
         last_event_id: Id of the last event that was relayed.
         first_byte_at: When the response to the caller started, or None.
+        event_relayed_at: When the current target's first event was relayed,
+            or None.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         self.response: web.StreamResponse | None = None
         self.last_event_id = last_event_id
         self.first_byte_at: float | None = None
+        self.event_relayed_at: float | None = None
         self._request = request
         self._dialect = request_dialect
         self._close_connection = close_connection
@@ -44,6 +47,7 @@
             forward.AnswerLost: The response is incomplete, or a stream to the
                 caller has started that it cannot continue.
         """
+        self.event_relayed_at = None
         body = await target_response.body()
         if self.response is not None:
             raise forward.AnswerLost(
@@ -77,6 +81,7 @@
             forward.AnswerLost: The stream was interrupted, stalled, or has an
                 event that is too large.
         """
+        self.event_relayed_at = None
         splitter = event_stream.EventSplitter()
         chunks = target_response.chunks()
         while True:
@@ -122,6 +127,8 @@
             return
         response = await self._start_response(target_response)
         await response.write(event.data)
+        if self.event_relayed_at is None:
+            self.event_relayed_at = self._loop.time()
         if event.event_id:
             self.last_event_id = event.event_id
 
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -7,6 +7,7 @@
 
 from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import admission
+from monsoonhinge.ingress import attempts
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import gateway_context
 from monsoonhinge.ingress import readiness
@@ -98,6 +99,7 @@
                 response = await self._relay(attempt)
             except forward.AnswerLost as error:
                 self._record_failure(attempt.target, "broke_off", error)
+                self._record_break(attempt.target, error)
                 if not self._take_retry():
                     if self.relay.response is not None:
                         raise relay.BrokenOff from error
@@ -125,6 +127,9 @@
         while True:
             target = await self._acquire_target()
             self._check_authorization()
+            self._context.quarantine.check(
+                self.parsed.shared_parts, self._loop.time()
+            )
             sent_at = self._loop.time()
             self._change_running(target, 1)
             try:
@@ -139,6 +144,8 @@
             except forward.AnswerLost as error:
                 self._change_running(target, -1)
                 self.attempts += 1
+                self.relay.event_relayed_at = None
+                self._record_break(target, error)
                 retry = self._take_retry()
                 if retry or not error.timed_out:
                     self._record_failure(target, "lost", error)
@@ -205,6 +212,7 @@
             arrived_at=now,
             queue_deadline=self.limits.queue_deadline,
             avoided_targets=self._avoided_targets,
+            shared_parts=self.parsed.shared_parts,
             future=self._loop.create_future(),
         )
         self._context.wait_queue.add(queued)
@@ -227,35 +235,15 @@
         timeout_s = left_s
         if self._attempts_left():
             timeout_s = min(left_s, self.limits.attempt_timeout_s)
-        team = self.admitted.team
-        headers = self._context.dialect.request_headers(
-            self.parsed,
-            target=target.name,
-            team=team.name if team is not None else "",
-            time_left_ms=max(1, int(left_s * 1000)),
-            priority=timeouts.engine_priority(self.admitted.priority)
-            if self._requirements.model
-            else None,
+        return await attempts.send(
+            context=self._context,
+            parsed=self.parsed,
+            admitted=self.admitted,
+            target=target,
+            left_s=left_s,
+            timeout_s=timeout_s,
             last_event_id=self.relay.last_event_id,
         )
-        address = target.registration.address
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._context.target_client.send(
-                    method=self.parsed.method,
-                    address=address,
-                    path=self.parsed.raw_path,
-                    headers=headers,
-                    body=self.parsed.body,
-                    timeout_s=left_s,
-                )
-        except TimeoutError as error:
-            raise forward.AnswerLost(
-                "no response before the timeout",
-                step="forward",
-                peer=address,
-                timed_out=True,
-            ) from error
 
     async def _relay(self, attempt: _Attempt) -> web.StreamResponse | None:
         """Relays a response, or returns None to retry after a 5xx status.
@@ -278,8 +266,12 @@
             if response.status >= 500 and self._take_retry():
                 self._avoided_targets.add(attempt.target.name)
                 return None
+        now = self._loop.time()
         self._context.balancer.ejections.record_success(
-            attempt.target.name, self._loop.time()
+            attempt.target.name, now
+        )
+        self._context.crash_reporter.record_served(
+            self.parsed.shared_parts, now
         )
         return relayed
 
@@ -360,6 +352,16 @@
             error=error,
         )
 
+    def _record_break(
+        self, target: target_table.Target, error: forward.AnswerLost
+    ) -> None:
+        if not error.timed_out:
+            self._context.crash_reporter.record_break(
+                target,
+                self.parsed.shared_parts,
+                event_relayed_at=self.relay.event_relayed_at,
+            )
+
     def _answer_lost_refusal(
         self, error: forward.AnswerLost
     ) -> refusal.Refusal:
--- a/src/monsoonhinge/ingress/request_handler.py
+++ b/src/monsoonhinge/ingress/request_handler.py
@@ -79,6 +79,9 @@
                 )
             admitted = await self._admit(parsed, arrived_at)
             execution = admitted.route.execution
+            self.context.quarantine.check(
+                parsed.shared_parts, asyncio.get_running_loop().time()
+            )
             limits = timeouts.request_timeouts(
                 admitted.route, time_left_ms=parsed.time_left_ms, now=arrived_at
             )
--- a/src/monsoonhinge/ingress/target_client.py
+++ b/src/monsoonhinge/ingress/target_client.py
@@ -15,6 +15,8 @@
 # A response that is not a stream is buffered until it is complete.
 _MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
+_CONNECT_CHECK_TIMEOUT_S = 1.0
+
 _SUPPRESSED_DEFAULT_HEADERS = (
     "User-Agent",
     "Accept",
@@ -35,6 +37,19 @@
         """Closes all connections."""
         await self._session.close()
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Returns whether nothing listens at the address of a target."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def send(
         self,
         *,
--- a/src/monsoonhinge/ingress/wait_queue.py
+++ b/src/monsoonhinge/ingress/wait_queue.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import math
 
@@ -25,6 +26,7 @@
         arrived_at: When the request was queued.
         queue_deadline: When the request stops waiting.
         avoided_targets: Targets that already failed or rejected the request.
+        shared_parts: Prompt parts that other requests may have as well.
         future: Receives the target.
     """
 
@@ -34,6 +36,7 @@
     arrived_at: float
     queue_deadline: float
     avoided_targets: set[str]
+    shared_parts: list[str]
     future: asyncio.Future[target_table.Target]
 
 
@@ -92,8 +95,17 @@
 
     def fail_all(self, error: Exception) -> None:
         """Removes all requests and fails them with an error."""
+        self.fail_each(lambda _: error)
+
+    def fail_each(
+        self, error_of: Callable[[QueuedRequest], Exception | None]
+    ) -> None:
+        """Removes and fails the requests for which there is an error."""
         for queue in list(self._queued.values()):
             for queued in list(queue):
+                error = error_of(queued)
+                if error is None:
+                    continue
                 self.remove(queued)
                 if not queued.future.done():
                     queued.future.set_exception(error)
--- a/src/monsoonhinge/platform/__main__.py
+++ b/src/monsoonhinge/platform/__main__.py
@@ -33,7 +33,8 @@
         address = self.config.registrations
         assert address is not None
         api = control.ControlApi(
-            member=self,
+            registry=self,
+            config=self.config_documents,
             address=str(address),
             key_secret=self.config.key_secret.encode(),
         )
--- a/src/monsoonhinge/platform/control.py
+++ b/src/monsoonhinge/platform/control.py
@@ -16,8 +16,8 @@
 _MAX_TARGET_CHARS = 128
 
 
-class ControlMember(typing.Protocol):
-    """Operations of a control member that the HTTP API calls."""
+class TargetRegistry(typing.Protocol):
+    """Registry of targets that the HTTP API updates."""
 
     def register(self, registration: fleet.Registration) -> bool:
         """Records an announcement; returns whether to acknowledge it."""
@@ -25,12 +25,16 @@
     def deregister(self, target: str) -> bool:
         """Records a deregistration; returns whether to acknowledge it."""
 
-    async def replace_config(
+
+class ConfigStore(typing.Protocol):
+    """Store of the configuration that the HTTP API reads and changes."""
+
+    async def replace(
         self, *, version: int, source: bytes, packed: bytes
     ) -> commands.ConfigResult:
         """Puts a document in effect, unless a higher version already is."""
 
-    async def newest_config(self) -> bytes:
+    async def newest(self) -> bytes:
         """Returns the newest document, or b"" if there is none yet."""
 
 
@@ -42,10 +46,16 @@
     """
 
     def __init__(
-        self, *, member: ControlMember, address: str, key_secret: bytes
+        self,
+        *,
+        registry: TargetRegistry,
+        config: ConfigStore,
+        address: str,
+        key_secret: bytes,
     ) -> None:
         self.address = address
-        self._member = member
+        self._registry = registry
+        self._config = config
         self._key_secret = key_secret
 
     def make_application(self) -> web.Application:
@@ -69,7 +79,7 @@
             )
             return _error(400, str(error))
         try:
-            result = await self._member.replace_config(
+            result = await self._config.replace(
                 version=document.version, source=source, packed=document.packed
             )
         except errors.MonsoonhingeError as error:
@@ -86,7 +96,7 @@
 
     async def _get_config(self, request: web.Request) -> web.Response:
         try:
-            source = await self._member.newest_config()
+            source = await self._config.newest()
         except (errors.MonsoonhingeError, TimeoutError):
             return _error(503, "the newest configuration is not known")
         if not source:
@@ -103,12 +113,12 @@
             )
         except registrations.InvalidAnnouncement:
             return _error(400, "the announcement names no server to use")
-        if not self._member.register(registration):
+        if not self._registry.register(registration):
             return _error(503, "not in touch with the other members")
         return web.json_response({"heartbeatAddress": self.address})
 
     async def _deregister(self, request: web.Request) -> web.Response:
-        if not self._member.deregister(request.match_info["target"]):
+        if not self._registry.deregister(request.match_info["target"]):
             return _error(503, "not in touch with the other members")
         return web.json_response({})
 
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -176,3 +176,69 @@
 
     fencing: int = 0
     placements: list[Placement] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class SuspectPrompt:
+    """Parts of a prompt that a target was about to answer as it crashed."""
+
+    parts: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class ServedPart:
+    """A prompt part and the time since a target last answered it."""
+
+    part: str = ""
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetCrash:
+    """Reports a crash of a target to the control members.
+
+    Attributes:
+        target: The target.
+        incarnation: Its incarnation that ended.
+        prompts: Prompts of this gateway that it was about to answer.
+        served: Parts of these prompts that this gateway knows as answered.
+    """
+
+    target: str = ""
+    incarnation: int = 0
+    prompts: list[SuspectPrompt] = dataclasses.field(default_factory=list)
+    served: list[ServedPart] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class PromptQuarantine:
+    """Prompts that contain all these parts must not reach any target.
+
+    ``for_ms`` is the time until the quarantine is lifted.
+    """
+
+    parts: list[str] = dataclasses.field(default_factory=list)
+    for_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class PromptQuarantines:
+    """What one control member knows of prompts that crash targets.
+
+    Attributes:
+        quarantines: All quarantines in force.
+        suspects: Parts that no target has answered since a crash. Gateways
+            report with ``PartsServed`` when a target answers one of them.
+    """
+
+    quarantines: list[PromptQuarantine] = dataclasses.field(
+        default_factory=list
+    )
+    suspects: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class PartsServed:
+    """Suspected prompt parts that targets have answered."""
+
+    served: list[ServedPart] = dataclasses.field(default_factory=list)
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -592,4 +592,7 @@
     | fleet.FleetActive
     | fleet.FleetDemand
     | fleet.Placements
+    | fleet.TargetCrash
+    | fleet.PromptQuarantines
+    | fleet.PartsServed
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -411,6 +411,36 @@
   placements @1 :List(Placement);
 }
 
+struct SuspectPrompt {
+  parts @0 :List(Text);
+}
+
+struct ServedPart {
+  part @0 :Text;
+  ageMs @1 :Int64;
+}
+
+struct TargetCrash {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  prompts @2 :List(SuspectPrompt);
+  served @3 :List(ServedPart);
+}
+
+struct PromptQuarantine {
+  parts @0 :List(Text);
+  forMs @1 :Int64;
+}
+
+struct PromptQuarantines {
+  quarantines @0 :List(PromptQuarantine);
+  suspects @1 :List(Text);
+}
+
+struct PartsServed {
+  served @0 :List(ServedPart);
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -460,6 +490,9 @@
     fleetActive @43 :FleetActive;
     fleetDemand @44 :FleetDemand;
     placements @45 :Placements;
+    targetCrash @46 :TargetCrash;
+    promptQuarantines @47 :PromptQuarantines;
+    partsServed @48 :PartsServed;
   }
 }
 
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -311,6 +311,7 @@
             arrived_at=0.0,
             queue_deadline=4.0,
             avoided_targets=set(),
+            shared_parts=[],
             future=asyncio.get_running_loop().create_future(),
         )
         queue.count_arrival(requirements)
