Take answers that end with their connection for whole, unless it is reset

Callers saw: 502, or a stream that broke off, for answers of targets that had neither a length nor chunks, though they were complete.

Cause: any such answer was given up, since aiohttp ends its body in the same way when the connection is closed and when it is reset.

Change: a response notes the error with which its connection is lost. On the users' platform an answer that ends with its connection is whole if that was closed in order, and lost if it was reset. A stream that ends inside an event is broken off, whatever its framing; so far its part of an event was relayed and the stream ended as complete. Reports and orders of engines get the same check of a reset. The product's own gateway keeps its documented rule, that its targets give a length or chunks (docs/api.md, test_answers).

--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -192,7 +192,7 @@
                 step=step,
                 peer=request.address,
             )
-        if not is_delimited(request.method, response):
+        if not is_delimited(response):
             abort_connection(response)
             raise AnswerLost(
                 "the answer has neither a length nor chunks",
@@ -253,15 +253,27 @@
     response.abort()
 
 
-def is_delimited(method: str, response: aiohttp.ClientResponse) -> bool:
-    """Returns whether a truncated response body can be detected."""
-    # A body that ends when the connection closes may be truncated.
-    return (
-        method == "HEAD"
-        or response.status in (204, 304)
-        or response.content_length is not None
-        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
+def is_delimited(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether the head of a response tells where its body ends.
+
+    Args:
+        response: Response of a session made by ``open_session``.
+    """
+    assert isinstance(response, bounded_http.BoundedResponse)
+    return response.is_delimited
+
+
+def check_end(response: aiohttp.ClientResponse) -> None:
+    """Checks the end of a body that has been read.
+
+    Args:
+        response: Response of a session made by ``open_session``.
+
+    Raises:
+        aiohttp.ClientPayloadError: The body may be truncated.
+    """
+    assert isinstance(response, bounded_http.BoundedResponse)
+    response.check_end()
 
 
 def filter_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -78,8 +78,8 @@
             event_timeout_s: Longest time without data, or None for no limit.
 
         Raises:
-            forward.AnswerLost: The stream was interrupted, stalled, or has an
-                event that is too large.
+            forward.AnswerLost: The stream was interrupted, stalled, ends
+                inside an event, or has an event that is too large.
         """
         self.event_relayed_at = None
         splitter = event_stream.EventSplitter()
@@ -110,9 +110,13 @@
                 ) from error
             if chunk is None:
                 break
-        response = await self._start_response(target_response)
         if splitter.remainder:
-            await response.write(splitter.remainder)
+            raise forward.AnswerLost(
+                "the stream ends inside an event",
+                step="read",
+                peer=target_response.peer,
+            )
+        response = await self._start_response(target_response)
         await response.write_eof()
         return response
 
--- a/src/monsoonhinge/ingress/target_client.py
+++ b/src/monsoonhinge/ingress/target_client.py
@@ -78,7 +78,7 @@
             step=_STEP,
             skip_auto_headers=_SUPPRESSED_DEFAULT_HEADERS,
         )
-        return TargetResponse(response=response, method=method, peer=address)
+        return TargetResponse(response=response, peer=address)
 
 
 class TargetResponse:
@@ -87,17 +87,12 @@
     Attributes:
         status: HTTP status.
         headers: All headers of the response.
-        is_delimited: Whether a truncated body can be detected, because the
-            response has a length or is chunked.
         peer: Address of the target.
     """
 
-    def __init__(
-        self, *, response: aiohttp.ClientResponse, method: str, peer: str
-    ) -> None:
+    def __init__(self, *, response: aiohttp.ClientResponse, peer: str) -> None:
         self.status = response.status
         self.headers = response.headers
-        self.is_delimited = forward.is_delimited(method, response)
         self.peer = peer
         self._response = response
 
@@ -105,16 +100,14 @@
         """Yields the body as it arrives.
 
         Raises:
-            forward.AnswerLost: The body is incomplete, or truncation could
-                not be detected.
+            forward.AnswerLost: The body is incomplete.
         """
         try:
             async for chunk in self._response.content.iter_any():
                 yield chunk
+            forward.check_end(self._response)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise self._lost_response_error(error) from error
-        if not self.is_delimited:
-            raise self._undelimited_error()
 
     async def body(self) -> bytes:
         """Returns the complete body.
@@ -123,8 +116,6 @@
             forward.AnswerLost: See ``chunks``, or the body is too large to be
                 buffered.
         """
-        if not self.is_delimited:
-            raise self._undelimited_error()
         try:
             return await bounded_http.read_body(
                 self._response, max_bytes=_MAX_BUFFERED_BYTES
@@ -140,13 +131,6 @@
         """Closes the connection and discards unread data."""
         forward.abort_connection(self._response)
 
-    def _undelimited_error(self) -> forward.AnswerLost:
-        return forward.AnswerLost(
-            "the response has neither a length nor chunked encoding",
-            step="read",
-            peer=self.peer,
-        )
-
     def _lost_response_error(self, error: Exception) -> forward.AnswerLost:
         return forward.AnswerLost(
             f"the response is incomplete: {type(error).__name__}",
--- a/src/monsoonhinge/targets/bounded_http.py
+++ b/src/monsoonhinge/targets/bounded_http.py
@@ -1,8 +1,11 @@
-"""HTTP responses with bounded heads and bodies.
+"""HTTP responses with bounded heads and bodies, and a known end.
 
 A faulty target may send bytes without end. aiohttp limits the header lines of a
 response, but neither the interim responses before it nor the size of a body
 that is read as a whole.
+
+The body of a response without a length and without chunks ends with its
+connection. aiohttp does not tell whether that was closed or reset.
 """
 
 import asyncio
@@ -14,6 +17,10 @@
 _MAX_INTERIM_RESPONSES = 16
 
 
+class ResetResponse(aiohttp.ClientPayloadError):
+    """The connection was reset before a body that ends with it was whole."""
+
+
 class EndlessResponse(aiohttp.ClientPayloadError):
     """A response exceeds its limit; its connection must not be reused."""
 
@@ -27,9 +34,12 @@
 
     Attributes:
         transport: Transport of the connection, once the head is being read.
+        connection_error: Error with which the connection was lost, or None if
+            it is open or was closed in order.
     """
 
     transport: asyncio.Transport | None = None
+    connection_error: BaseException | None = None
 
     async def start(
         self, connection: aiohttp.connector.Connection
@@ -41,6 +51,7 @@
         """
         self.transport = connection.transport
         protocol: Any = connection.protocol
+        self._watch_connection(protocol)
         read = protocol.read
         left = _MAX_INTERIM_RESPONSES + 1
 
@@ -59,6 +70,39 @@
         finally:
             del protocol.read
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the head tells where the body ends."""
+        return (
+            self.method == "HEAD"
+            or self.status in (204, 304)
+            or self.content_length is not None
+            or "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+        )
+
+    def check_end(self) -> None:
+        """Checks the end of a body that has been read.
+
+        Raises:
+            ResetResponse: The body ends with a connection that was reset.
+        """
+        if not self.is_delimited and self.connection_error is not None:
+            raise ResetResponse(f"reset: {self.connection_error!r}")
+
+    def _watch_connection(self, protocol: Any) -> None:
+        """Notes the error with which the connection is lost.
+
+        aiohttp ends a body that ends with its connection in the same way for
+        any loss of that connection.
+        """
+        lost = type(protocol).connection_lost
+
+        def connection_lost(error: BaseException | None) -> None:
+            self.connection_error = error
+            lost(protocol, error)
+
+        protocol.connection_lost = connection_lost
+
     def abort(self) -> None:
         """Closes the connection, so that it is not reused."""
         self.close()
@@ -73,6 +117,7 @@
 
     Raises:
         EndlessResponse: The body is larger than ``max_bytes``.
+        ResetResponse: The connection with which the body ends was reset.
         aiohttp.ClientError: The body is incomplete.
     """
     size_bytes = response.content_length or 0
@@ -87,4 +132,6 @@
     if size_bytes > max_bytes:
         response.close()
         raise EndlessResponse(f"the body exceeds {max_bytes} bytes")
+    if isinstance(response, BoundedResponse):
+        response.check_end()
     return b"".join(parts)
