Log the rate limit that responses of targets name

No line named the limit in force, so that the hypotheses on targets above their limit could not be told apart. The platform's adapter reads Server-Limit, and attempt lines give it.

No logic changes.

--- a/src/monsoonhinge/ingress/dialect.py
+++ b/src/monsoonhinge/ingress/dialect.py
@@ -116,6 +116,13 @@
     ) -> ExecutionStatus:
         """Returns whether the target ran the request."""
 
+    def rate_limit(self, headers: typing.Mapping[str, str]) -> float | None:
+        """Returns the requests per second that a target accepts.
+
+        The limit holds for all gateways together, until the target names
+        another one or none. None if the response names no limit.
+        """
+
     def response_headers(
         self, headers: typing.Mapping[str, str]
     ) -> multidict.CIMultiDict[str]:
--- a/src/monsoonhinge/ingress/request_events.py
+++ b/src/monsoonhinge/ingress/request_events.py
@@ -15,6 +15,7 @@
     waited_s: float,
     head_s: float,
     status: int,
+    rate_limit: float | None,
     outcome: str,
 ) -> None:
     """Logs an attempt whose response headers have arrived.
@@ -27,6 +28,8 @@
         waited_s: Time from the arrival of the request to the attempt.
         head_s: Time until the response headers arrived.
         status: HTTP status of the response.
+        rate_limit: Requests per second that the response says the target
+            accepts, or None.
         outcome: Whether the target ran the request.
     """
     events.emit(
@@ -41,6 +44,7 @@
         waited_s=round(waited_s, 4),
         head_s=round(head_s, 4),
         status=status,
+        rate_limit=rate_limit,
         outcome=outcome,
     )
 
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -161,7 +161,7 @@
                 status=response.status,
                 headers=response.headers,
             )
-            self._log_attempt(target, sent_at, response.status, execution.value)
+            self._log_attempt(target, sent_at, response, execution.value)
             match execution:
                 case dialect.ExecutionStatus.RAN:
                     self.attempts += 1
@@ -383,7 +383,7 @@
         self,
         target: target_table.Target,
         sent_at: float,
-        status: int,
+        response: target_client.TargetResponse,
         outcome: str,
     ) -> None:
         now = self._loop.time()
@@ -394,6 +394,7 @@
             fencing=self._context.balancer.targets.fencing,
             waited_s=sent_at - self.limits.arrived_at,
             head_s=now - sent_at,
-            status=status,
+            status=response.status,
+            rate_limit=self._context.dialect.rate_limit(response.headers),
             outcome=outcome,
         )
--- a/src/monsoonhinge/platform/requests.py
+++ b/src/monsoonhinge/platform/requests.py
@@ -1,6 +1,7 @@
 """Translation of the headers of requests and responses."""
 
 from collections.abc import Mapping
+import re
 
 from aiohttp import web
 import multidict
@@ -9,6 +10,7 @@
 from monsoonhinge.platform import wire
 
 _BEARER_PREFIX = "bearer "
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 
 
 class PlatformDialect:
@@ -86,6 +88,13 @@
             return dialect.ExecutionStatus.UNKNOWN
         return dialect.ExecutionStatus.RAN
 
+    def rate_limit(self, headers: Mapping[str, str]) -> float | None:
+        """Returns the requests per second that the server accepts, or None."""
+        text = headers.get(wire.SERVER_LIMIT)
+        if text is None or not _DECIMAL.fullmatch(text.strip()):
+            return None
+        return float(text)
+
     def response_headers(
         self, headers: Mapping[str, str]
     ) -> multidict.CIMultiDict[str]:
--- a/src/monsoonhinge/platform/wire.py
+++ b/src/monsoonhinge/platform/wire.py
@@ -11,6 +11,8 @@
 SERVER_SIGNATURE = "X-Server-Signature"
 NOT_EXECUTED = "X-Not-Executed"
 INSTANCE = "X-Instance-Id"
+# Requests per second that the server takes from all machines together.
+SERVER_LIMIT = "Server-Limit"
 
 # Headers of requests to targets that only this system may set.
 TENANT = "X-Tenant"
