--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -65,6 +65,10 @@
             "models": [{"name": "m1", "version": 1, "adapters": []}],
         } | changes
 
+    def response_headers(self) -> dict[str, str]:
+        """Returns headers that its responses have in addition."""
+        return {}
+
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/monsoonhinge/report":
             return web.json_response(
@@ -82,6 +86,7 @@
                 "X-Request-Id": request_id,
                 "X-Server-Signature": f"by-{self.name}",
                 "Content-Type": "text/event-stream",
+                **self.response_headers(),
             }
         )
         await response.prepare(request)
