Send requests to a target with a rate limit only with a permit

Cause: no process read the limit, and no gateway alone exceeds it: a limit of 1 a second is shared by nine gateways. The class of fault: a limit of the whole fleet that each member would have to keep alone (as with tokens and retries).

Change: the gateway that reads a limit, another one, or none, tells all control members; the holder of the fleet lease publishes it and gives a permit for each request from a token bucket that starts empty and holds one request and half a second of the rate. A denied gateway leaves the target out until the time that the holder names, and chooses another or waits. Requests of a gateway ask one by one. Without a reply of the holder each gateway sends its part of the rate, again from an empty bucket. A response to a request sent before the limit was known does not end it.

Ruled out: retries (258 attempts of 258 requests) and the restarted gateway.

--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -17,6 +17,7 @@
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.fleet import feed
 from monsoonhinge.fleet import leasing
+from monsoonhinge.fleet import permits
 from monsoonhinge.fleet import quarantines
 from monsoonhinge.fleet import registry as target_registry
 from monsoonhinge.protocol import connection
@@ -86,6 +87,9 @@
             extra_burst_tokens=self._burst_allowance,
             prefetch_s=0.0,
         )
+        self.permits = permits.PermitServer(
+            lease_held=self.lease.held, broadcast=self.feed.broadcast
+        )
         self.controller: controller.PlacementController | None = None
         self._engine_client = client
         self._plan_requested = asyncio.Event()
@@ -182,6 +186,7 @@
                 link.notify(self._announced_leases)
                 link.notify(self.quarantines.snapshot(now))
                 if self.controller is not None:
+                    link.notify(self.permits.snapshot(now))
                     link.notify(self.controller.snapshot(now))
                 return messages.Ack()
             case fleet.Registrations():
@@ -193,6 +198,11 @@
                 self.demand_tracker.update(message, now)
                 self._plan_requested.set()
                 return None
+            case fleet.RateLimits():
+                self.permits.record(message, now)
+                return None
+            case fleet.PermitRequest():
+                return self.permits.permit(message, now)
             case fleet.TargetCrash():
                 self.quarantines.record_crash(message, now)
                 return None
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -20,6 +20,7 @@
 # be recognized as such.
 _MAX_SUBSCRIBED_MEMBERS = 3
 _GRANT_TIMEOUT_S = 0.5
+_PERMIT_TIMEOUT_S = 0.3
 
 # Changes of the demand within this time are sent in one message.
 _DEMAND_DELAY_S = 0.004
@@ -48,6 +49,7 @@
         on_registrations: Callable[[list[fleet.Registration]], None],
         on_placements: Callable[[fleet.Placements], None],
         on_quarantines: Callable[[str, fleet.PromptQuarantines], None],
+        on_rate_limits: Callable[[fleet.RateLimits], None],
         current_demand: Callable[[], fleet.FleetDemand],
     ) -> None:
         super().__init__(members=members, identity=identity, listener=listener)
@@ -56,6 +58,7 @@
         self._on_registrations = on_registrations
         self._on_placements = on_placements
         self._on_quarantines = on_quarantines
+        self._on_rate_limits = on_rate_limits
         self._current_demand = current_demand
         # Members to whose registrations this gateway subscribes.
         self._subscribed_members: set[connection.Connection] = set()
@@ -107,6 +110,8 @@
                 self.demand_changed()
             case fleet.Placements():
                 self._on_placements(message)
+            case fleet.RateLimits():
+                self._on_rate_limits(message)
             case fleet.PromptQuarantines():
                 self._on_quarantines(link.peer, message)
             case _:
@@ -131,12 +136,35 @@
             request, messages.Grant, timeout=_GRANT_TIMEOUT_S
         )
 
-    def send_evidence(
-        self, report: fleet.TargetCrash | fleet.PartsServed
+    async def request_permit(self, target: str) -> float:
+        """Asks the fleet lease holder to send a request to a limited target.
+
+        Returns:
+            0 if it may be sent, else the seconds until it may ask again.
+
+        Raises:
+            errors.MonsoonhingeError: No member holds the lease, or it did not
+                reply in time.
+        """
+        link = self._lease_holder(lambda active: active.fencing)
+        if link is None:
+            raise errors.ConnectionLost(
+                "no control member holds the fleet lease", step="permit"
+            )
+        permit = await link.request(
+            fleet.PermitRequest(target=target),
+            fleet.Permit,
+            timeout=_PERMIT_TIMEOUT_S,
+        )
+        return permit.wait_us / 1e6
+
+    def report_to_all(
+        self,
+        report: fleet.TargetCrash | fleet.PartsServed | fleet.RateLimits,
     ) -> None:
-        """Sends evidence on prompts to all connected control members.
+        """Sends a report to all connected control members.
 
-        Each of them keeps the evidence, so that none is needed to act on it.
+        Each of them keeps what it says, so that none is needed to act on it.
         """
         for peer in self.peers.values():
             if peer.connection is not None:
--- a/src/monsoonhinge/ingress/gateway_context.py
+++ b/src/monsoonhinge/ingress/gateway_context.py
@@ -8,6 +8,7 @@
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import prompt_quarantine
+from monsoonhinge.ingress import rate_limiter
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import wait_queue
@@ -23,6 +24,7 @@
         balancer: Chooses the target of a request.
         wait_queue: Requests that wait for a target.
         retry_budget: Budget for retries.
+        rate_limiter: Keeps requests within the rate limits of targets.
         quarantine: Prompts that must not reach any target.
         crash_reporter: Reports crashed targets.
         still_authorized: Returns whether the key of an admitted request is
@@ -38,6 +40,7 @@
     balancer: load_balancer.LoadBalancer
     wait_queue: wait_queue.WaitQueue
     retry_budget: retry_budget.RetryBudget
+    rate_limiter: rate_limiter.RateLimiter
     quarantine: prompt_quarantine.PromptQuarantine
     crash_reporter: crash_reports.CrashReporter
     still_authorized: Callable[[admission.AdmittedRequest], bool]
--- a/src/monsoonhinge/ingress/load_balancer.py
+++ b/src/monsoonhinge/ingress/load_balancer.py
@@ -84,7 +84,11 @@
         self, requirements: Requirements, now: float
     ) -> list[target_table.Target]:
         """Returns the targets that can serve the request now."""
-        available = self.targets.available_targets(requirements.service)
+        available = [
+            target
+            for target in self.targets.available_targets(requirements.service)
+            if target.accepts_requests(now)
+        ]
         if not requirements.model:
             return available
         return [
--- a/src/monsoonhinge/ingress/metrics.py
+++ b/src/monsoonhinge/ingress/metrics.py
@@ -24,6 +24,11 @@
 WAITING_REQUESTS = prometheus_client.Gauge(
     "monsoonhinge_ingress_requests_waiting", "Requests that wait for a target"
 )
+PERMITS = prometheus_client.Counter(
+    "monsoonhinge_ingress_permits_total",
+    "Permits for requests to targets with a rate limit, by outcome",
+    ["outcome"],
+)
 CONFIG_STALENESS_SECONDS = prometheus_client.Gauge(
     "monsoonhinge_ingress_staleness_seconds",
     "Age of the confirmed configuration",
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -18,6 +18,7 @@
 from monsoonhinge.ingress import metrics
 from monsoonhinge.ingress import prompt_quarantine
 from monsoonhinge.ingress import quota
+from monsoonhinge.ingress import rate_limiter
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import request_handler
 from monsoonhinge.ingress import retry_budget
@@ -81,6 +82,7 @@
             on_registrations=self._on_registrations,
             on_placements=self._on_placements,
             on_quarantines=self._on_quarantines,
+            on_rate_limits=self._on_rate_limits,
             current_demand=self._current_demand,
         )
         self.admission = admission.Admission(
@@ -97,6 +99,11 @@
             gateway=f"{self.identity.node}/{self.identity.incarnation}",
             send=self.fleet_client.request_grant,
         )
+        self.rate_limiter = rate_limiter.RateLimiter(
+            request_permit=self.fleet_client.request_permit,
+            report=self.fleet_client.report_to_all,
+            dispatch_at=self._dispatch_waiting_at,
+        )
         self.draining = False
         self.handler: request_handler.RequestHandler | None = None
         self._dialect = request_dialect
@@ -111,7 +118,7 @@
         self._target_client = target_client.TargetClient()
         self._crash_reporter = crash_reports.CrashReporter(
             refuses_connections=self._target_client.refuses_connections,
-            send=self.fleet_client.send_evidence,
+            send=self.fleet_client.report_to_all,
         )
         context = gateway_context.GatewayContext(
             dialect=self._dialect,
@@ -119,6 +126,7 @@
             balancer=self.balancer,
             wait_queue=self.wait_queue,
             retry_budget=self.retry_budget,
+            rate_limiter=self.rate_limiter,
             quarantine=self.quarantine,
             crash_reporter=self._crash_reporter,
             still_authorized=lambda admitted: self.admission.still_authorized(
@@ -223,6 +231,9 @@
                     "models": sorted(target.models),
                     "running": target.running_count(),
                     "answer_s": target.response_latency_s,
+                    "rate_limit": None
+                    if target.rate_limit is None
+                    else target.rate_limit.requests_per_s,
                 }
                 for name, target in self.targets.by_name.items()
             },
@@ -254,6 +265,7 @@
                 )
         self.quota.gateway_count = self.fleet_client.gateway_count
         self.retry_budget.gateway_count = self.fleet_client.gateway_count
+        self.rate_limiter.gateway_count = self.fleet_client.gateway_count
         self._dispatch_waiting()
 
     def _on_placements(self, message: fleet.Placements) -> None:
@@ -261,6 +273,10 @@
         if self.targets.apply_placements(message, now):
             self._dispatch_waiting()
 
+    def _on_rate_limits(self, message: fleet.RateLimits) -> None:
+        now = asyncio.get_running_loop().time()
+        self.rate_limiter.apply(message, self.targets, now)
+
     def _on_quarantines(
         self, member: str, message: fleet.PromptQuarantines
     ) -> None:
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -10,15 +10,14 @@
 from monsoonhinge.ingress import attempts
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import gateway_context
-from monsoonhinge.ingress import readiness
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import request_events
+from monsoonhinge.ingress import target_acquisition
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_table
 from monsoonhinge.ingress import timeouts
 from monsoonhinge.ingress import token_reservation
-from monsoonhinge.ingress import wait_queue
 from monsoonhinge.runtime import events
 
 # Limit for attempts that no target ran, in addition to route.max_attempts.
@@ -73,9 +72,16 @@
             last_event_id=parsed.last_event_id,
         )
         self._context = context
-        self._avoided_targets: set[str] = set()
         self._loop = asyncio.get_running_loop()
         self._requirements = admitted.requirements(parsed)
+        self._acquisition = target_acquisition.TargetAcquisition(
+            context=context,
+            parsed=parsed,
+            admitted=admitted,
+            limits=limits,
+            reservation=reservation,
+        )
+        self._avoided_targets = self._acquisition.avoided_targets
 
     async def run(self) -> web.StreamResponse:
         """Returns the response to the caller once it is complete.
@@ -125,7 +131,9 @@
             refusal.Refusal: No target ran it, or its response was lost.
         """
         while True:
-            target = await self._acquire_target()
+            target = await self._acquisition.acquire(
+                releases_tokens=not self.attempts
+            )
             self._check_authorization()
             self._context.quarantine.check(
                 self.parsed.shared_parts, self._loop.time()
@@ -161,7 +169,7 @@
                 status=response.status,
                 headers=response.headers,
             )
-            self._log_attempt(target, sent_at, response, execution.value)
+            self._record_head(target, sent_at, response, execution.value)
             match execution:
                 case dialect.ExecutionStatus.RAN:
                     self.attempts += 1
@@ -185,53 +193,12 @@
                     self._handle_rejection(target, execution)
                     self._count_rejection(response.peer)
 
-    async def _acquire_target(self) -> target_table.Target:
-        """Waits for a target and tokens, and returns the target."""
-        while True:
-            target = self._context.balancer.choose(
-                self._requirements,
-                avoided_targets=self._avoided_targets,
-                now=self._loop.time(),
-            )
-            if target is None:
-                if not self.attempts:
-                    self.reservation.release()
-                target = await self._wait_for_target()
-            if self.reservation.held:
-                return target
-            await self.reservation.acquire()
-
-    async def _wait_for_target(self) -> target_table.Target:
-        now = self._loop.time()
-        if now >= self.limits.queue_deadline:
-            raise self._wait_refusal()
-        queued = wait_queue.QueuedRequest(
-            requirements=self._requirements,
-            priority=self.admitted.priority,
-            latency_deadline=self.limits.latency_deadline,
-            arrived_at=now,
-            queue_deadline=self.limits.queue_deadline,
-            avoided_targets=self._avoided_targets,
-            shared_parts=self.parsed.shared_parts,
-            future=self._loop.create_future(),
-        )
-        self._context.wait_queue.add(queued)
-        self._context.demand_changed()
-        try:
-            async with asyncio.timeout_at(self.limits.queue_deadline):
-                return await queued.future
-        except TimeoutError:
-            raise self._wait_refusal() from None
-        finally:
-            self._context.wait_queue.remove(queued)
-            self._context.demand_changed()
-
     async def _send(
         self, target: target_table.Target, now: float
     ) -> target_client.TargetResponse:
         left_s = self.limits.deadline - now
         if left_s <= 0:
-            raise self._wait_refusal()
+            raise self._acquisition.refusal()
         timeout_s = left_s
         if self._attempts_left():
             timeout_s = min(left_s, self.limits.attempt_timeout_s)
@@ -371,22 +338,19 @@
             reason = refusal.Reason.TIMEOUT
         return refusal.Refusal(reason, step=error.step, peer=error.peer)
 
-    def _wait_refusal(self) -> refusal.Refusal:
-        return readiness.wait_refusal(
-            self._requirements,
-            engine=self.admitted.service.engine,
-            targets=self._context.balancer.targets,
-            now=self._loop.time(),
-        )
-
-    def _log_attempt(
+    def _record_head(
         self,
         target: target_table.Target,
         sent_at: float,
         response: target_client.TargetResponse,
         outcome: str,
     ) -> None:
+        """Records what the head of a response tells about its target."""
         now = self._loop.time()
+        rate_limit = self._context.dialect.rate_limit(response.headers)
+        self._context.rate_limiter.record_response(
+            target, rate_limit, sent_at=sent_at, now=now
+        )
         request_events.attempt(
             parsed=self.parsed,
             admitted=self.admitted,
@@ -395,6 +359,6 @@
             waited_s=sent_at - self.limits.arrived_at,
             head_s=now - sent_at,
             status=response.status,
-            rate_limit=self._context.dialect.rate_limit(response.headers),
+            rate_limit=rate_limit,
             outcome=outcome,
         )
--- /dev/null
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -0,0 +1,100 @@
+"""Finds the target of each attempt of a request, and waits for it."""
+
+import asyncio
+
+from monsoonhinge.ingress import admission
+from monsoonhinge.ingress import dialect
+from monsoonhinge.ingress import gateway_context
+from monsoonhinge.ingress import readiness
+from monsoonhinge.ingress import refusal
+from monsoonhinge.ingress import target_table
+from monsoonhinge.ingress import timeouts
+from monsoonhinge.ingress import token_reservation
+from monsoonhinge.ingress import wait_queue
+
+
+class TargetAcquisition:
+    """Chooses targets for the attempts of one request.
+
+    Attributes:
+        avoided_targets: Targets that already failed or rejected the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: gateway_context.GatewayContext,
+        parsed: dialect.ParsedRequest,
+        admitted: admission.AdmittedRequest,
+        limits: timeouts.RequestTimeouts,
+        reservation: token_reservation.TokenReservation,
+    ) -> None:
+        self.avoided_targets: set[str] = set()
+        self._context = context
+        self._parsed = parsed
+        self._admitted = admitted
+        self._limits = limits
+        self._reservation = reservation
+        self._requirements = admitted.requirements(parsed)
+        self._loop = asyncio.get_running_loop()
+
+    async def acquire(self, *, releases_tokens: bool) -> target_table.Target:
+        """Waits for a target, tokens and a permit, and returns the target.
+
+        Args:
+            releases_tokens: Whether the request holds no tokens while it waits
+                for a target, since no attempt may have run yet.
+
+        Raises:
+            refusal.Refusal: There was no target or there were no tokens in
+                time.
+        """
+        while True:
+            target = self._context.balancer.choose(
+                self._requirements,
+                avoided_targets=self.avoided_targets,
+                now=self._loop.time(),
+            )
+            if target is None:
+                if releases_tokens:
+                    self._reservation.release()
+                target = await self._wait_for_target()
+            if not self._reservation.held:
+                await self._reservation.acquire()
+                # The target may have become unsuitable in the meantime.
+                continue
+            if await self._context.rate_limiter.acquire(target):
+                return target
+
+    def refusal(self) -> refusal.Refusal:
+        """Returns the refusal of the request if it can no longer be served."""
+        return readiness.wait_refusal(
+            self._requirements,
+            engine=self._admitted.service.engine,
+            targets=self._context.balancer.targets,
+            now=self._loop.time(),
+        )
+
+    async def _wait_for_target(self) -> target_table.Target:
+        if self._loop.time() >= self._limits.queue_deadline:
+            raise self.refusal()
+        queued = wait_queue.QueuedRequest(
+            requirements=self._requirements,
+            priority=self._admitted.priority,
+            latency_deadline=self._limits.latency_deadline,
+            arrived_at=self._limits.arrived_at,
+            queue_deadline=self._limits.queue_deadline,
+            avoided_targets=self.avoided_targets,
+            shared_parts=self._parsed.shared_parts,
+            future=self._loop.create_future(),
+        )
+        self._context.wait_queue.add(queued)
+        self._context.demand_changed()
+        try:
+            async with asyncio.timeout_at(self._limits.queue_deadline):
+                return await queued.future
+        except TimeoutError:
+            raise self.refusal() from None
+        finally:
+            self._context.wait_queue.remove(queued)
+            self._context.demand_changed()
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 from monsoonhinge.protocol import fleet
 
@@ -35,6 +36,23 @@
 _AnnouncementVersion = tuple[int, int]
 
 
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """Rate limit that a target named.
+
+    Attributes:
+        requests_per_s: Requests per second from all gateways together.
+        known_at: When this gateway learned that there is a limit.
+        reported_at: When this gateway last reported it.
+        closed_until: When this gateway may next ask for a permit.
+    """
+
+    requests_per_s: float
+    known_at: float
+    reported_at: float = -math.inf
+    closed_until: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Target:
     """One incarnation of a target.
@@ -54,6 +72,7 @@
             be loaded, after the target refused a request for them.
         unreachable_until: Time until which the target is assumed to be down,
             after a connection to it failed.
+        rate_limit: Rate limit that it named, or None.
     """
 
     registration: fleet.Registration
@@ -68,6 +87,7 @@
         default_factory=dict
     )
     unreachable_until: float = 0.0
+    rate_limit: RateLimit | None = None
 
     @property
     def name(self) -> str:
@@ -97,6 +117,10 @@
             _SILENT_RECONNECT_DELAY_S if silent else _RECONNECT_DELAY_S
         )
 
+    def accepts_requests(self, now: float) -> bool:
+        """Returns whether its rate limit permits a request soon."""
+        return self.rate_limit is None or now >= self.rate_limit.closed_until
+
     def serves(self, model: str, adapter: str, now: float) -> bool:
         """Returns whether the target can serve a model and adapter now."""
         adapters = self.models.get(model)
--- a/src/monsoonhinge/ingress/wait_queue.py
+++ b/src/monsoonhinge/ingress/wait_queue.py
@@ -23,7 +23,7 @@
         priority: Priority, 0 is served first.
         latency_deadline: Latest start of a response that meets the target
             latency of the route.
-        arrived_at: When the request was queued.
+        arrived_at: When the request arrived.
         queue_deadline: When the request stops waiting.
         avoided_targets: Targets that already failed or rejected the request.
         shared_parts: Prompt parts that other requests may have as well.
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -242,3 +242,45 @@
     """Suspected prompt parts that targets have answered."""
 
     served: list[ServedPart] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """Rate limit that a target named in its last response.
+
+    Attributes:
+        target: The target.
+        incarnation: Its incarnation.
+        limited: Whether it named a limit; without one, an earlier limit ends.
+        requests_per_s: Requests per second that it accepts from all gateways.
+    """
+
+    target: str = ""
+    incarnation: int = 0
+    limited: bool = False
+    requests_per_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class RateLimits:
+    """New, changed and ended rate limits, sent in both directions."""
+
+    limits: list[RateLimit] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class PermitRequest:
+    """Asks the fleet lease holder to send one request to a limited target."""
+
+    target: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Permit:
+    """Reply to PermitRequest.
+
+    ``wait_us`` is 0 if the request may be sent now, else the microseconds
+    until it may ask again.
+    """
+
+    wait_us: int = 0
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -595,4 +595,7 @@
     | fleet.TargetCrash
     | fleet.PromptQuarantines
     | fleet.PartsServed
+    | fleet.RateLimits
+    | fleet.PermitRequest
+    | fleet.Permit
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -441,6 +441,25 @@
   served @0 :List(ServedPart);
 }
 
+struct RateLimit {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  limited @2 :Bool;
+  requestsPerS @3 :Float64;
+}
+
+struct RateLimits {
+  limits @0 :List(RateLimit);
+}
+
+struct PermitRequest {
+  target @0 :Text;
+}
+
+struct Permit {
+  waitUs @0 :Int64;
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -493,6 +512,9 @@
     targetCrash @46 :TargetCrash;
     promptQuarantines @47 :PromptQuarantines;
     partsServed @48 :PartsServed;
+    rateLimits @49 :RateLimits;
+    permitRequest @50 :PermitRequest;
+    permit @51 :Permit;
   }
 }
 
