Keep the memory of load orders without a response counted

Callers saw nothing on their own; an engine that is loaded beyond its room crashes (LIMIT), with all its streams.

Cause: an order whose responses are all lost counted as refused, though the engine may have carried it out, or may do so seconds later. Its adapter, or model, no longer counted, also after the state was read again, since a report without it says nothing about later. After a conflict, the count of orders was taken over although an order without a response had been carried out.

Change: such an order is unsettled (fleet/unsettled_orders.py). Its memory stays counted, it takes no requests, and the state of the engine is read again. An order without a response that turns out to have been carried out also leads to a new read of the state. The same hole in swaps of models is mended with it.

--- a/src/monsoonhinge/fleet/adapter_loader.py
+++ b/src/monsoonhinge/fleet/adapter_loader.py
@@ -55,7 +55,9 @@
                 load=True, model=load.model, adapter=load.adapter
             )
             done = outcome is not orders.Outcome.REFUSED
-            if done:
+            if outcome is orders.Outcome.UNKNOWN:
+                self._on_state_unknown(engine)
+            elif done:
                 await asyncio.sleep(adapters.ADAPTER_LOAD_S)
         except orders.LeaseLostError:
             self._on_lease_lost()
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -14,6 +14,7 @@
 
 from monsoonhinge.config import ingress
 from monsoonhinge.fleet import engine_client
+from monsoonhinge.fleet import unsettled_orders
 from monsoonhinge.protocol import fleet
 
 LOADED = "loaded"
@@ -72,6 +73,7 @@
         retry_at: Time before which no swap is planned.
         running_by_model: Running requests of all gateways, by model.
         adapters_in_use: Adapters with running requests, as (model, adapter).
+        unsettled: Load orders without a response. Their memory stays counted.
         unloaded_at: Time of the last unload, by model.
         in_memory: Models with a cached copy in host memory.
         on_disk: Models with a cached copy on disk.
@@ -96,6 +98,7 @@
         self.retry_at = 0.0
         self.running_by_model: dict[str, int] = {}
         self.adapters_in_use: set[tuple[str, str]] = set()
+        self.unsettled = unsettled_orders.UnsettledOrders()
         self.unloaded_at: dict[str, float] = {}
         self.in_memory = set(registration.in_memory)
         self.on_disk = set(registration.on_disk)
@@ -161,6 +164,7 @@
         removed once consecutive announcements do not list it.
         """
         self.registration = registration
+        self._free(self.unsettled.pop_expired(now))
         # The engine evicts cached copies, so the latest lists replace the
         # earlier ones.
         self.in_memory = set(registration.in_memory)
@@ -194,11 +198,16 @@
     def apply_report(self, report: engine_client.Report, now: float) -> None:
         """Applies a report that was fetched while no order was pending."""
         self.order_count = report.order_count
+        self._free(self.unsettled.pop_void(report.order_count))
         self.busy_while_unknown = False
         self.in_memory = set(report.in_memory)
         self.on_disk = set(report.on_disk)
         for name in list(self.replicas):
-            if name not in report.models and not report.busy:
+            if (
+                name not in report.models
+                and not report.busy
+                and not self.unsettled.has_model(name)
+            ):
                 del self.replicas[name]
         for name, adapters in report.models.items():
             replica = self.replicas.setdefault(
@@ -210,6 +219,7 @@
             for adapter, last_used_at in list(replica.adapters.items()):
                 if (
                     adapter not in adapters
+                    and (name, adapter) not in self.unsettled
                     and now - last_used_at > _MAX_REPORT_AGE_S
                 ):
                     del replica.adapters[adapter]
@@ -219,6 +229,21 @@
             if name in self.replicas:
                 self.replicas[name].adapters.setdefault(adapter, now)
 
+    def accept_order(self, model: str, adapter: str, order_count: int) -> None:
+        """Records an accepted order, which makes those before it void."""
+        self.order_count = order_count
+        self.unsettled.discard((model, adapter))
+        self._free(self.unsettled.pop_void(order_count))
+
+    def _free(self, items: list[unsettled_orders.Item]) -> None:
+        """Frees what was kept for orders that can't be carried out any more."""
+        for model, adapter in items:
+            replica = self.replicas.get(model)
+            if replica is not None and adapter:
+                replica.adapters.pop(adapter, None)
+            elif replica is not None and model not in self.announced_models:
+                del self.replicas[model]
+
     def begin_load(self, model: str, *, ready_at: float, now: float) -> None:
         """Records that a load is planned, or was ordered."""
         self.replicas[model] = ModelReplica(
--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -28,13 +28,14 @@
     Attributes:
         STARTED: The engine is carrying out the order.
         APPLIED: The ordered state is in effect.
-        REFUSED: The order was not sent or was rejected, or all attempts failed;
-            it is taken to have changed nothing.
+        REFUSED: The order was not sent or was rejected; it changed nothing.
+        UNKNOWN: The engine may have carried out the order, or may do so later.
     """
 
     STARTED = "started"
     APPLIED = "holds"
     REFUSED = "refused"
+    UNKNOWN = "unknown"
 
 
 class LeaseLostError(errors.MonsoonhingeError):
@@ -125,13 +126,19 @@
                         "fleet lease is not held", step="order"
                     )
                 if self.engine.order_count is None:
-                    return Outcome.REFUSED
+                    return self._failed(model, adapter)
                 if load and self.engine.free_bytes() < 0:
                     # The engine has announced models beyond those planned.
-                    return Outcome.REFUSED
+                    return self._failed(model, adapter)
                 outcome = await self._attempt(load, model, adapter, attempt)
                 if outcome is not None:
                     return outcome
+        return self._failed(model, adapter)
+
+    def _failed(self, model: str, adapter: str) -> Outcome:
+        """Returns the outcome of an order of which no attempt succeeded."""
+        if (model, adapter) in self.engine.unsettled:
+            return Outcome.UNKNOWN
         return Outcome.REFUSED
 
     async def _attempt(
@@ -157,18 +164,24 @@
             self._log_order(
                 load, model, adapter, expected, f"unanswered: {error}"
             )
+            if load:
+                engine.unsettled.add(
+                    (model, adapter),
+                    expected_order_count=expected,
+                    now=asyncio.get_running_loop().time(),
+                )
             await asyncio.sleep(_RETRY_DELAY_S)
             return None
         self._log_order(load, model, adapter, expected, response.value)
         match response:
             case engine_client.OrderResponse.STARTED:
-                engine.order_count = expected + 1
+                engine.accept_order(model, adapter, expected + 1)
                 return Outcome.STARTED
             case engine_client.OrderResponse.APPLIED:
                 # The unload of an unused adapter completes at once and counts
                 # as an accepted order.
                 if adapter and not load:
-                    engine.order_count = expected + 1
+                    engine.accept_order(model, adapter, expected + 1)
                 return Outcome.APPLIED
             case engine_client.OrderResponse.FENCED:
                 raise LeaseLostError(
@@ -216,13 +229,20 @@
         except engine_client.NoResponseError:
             return None
         engine = self.engine
-        engine.order_count = max(engine.order_count or 0, report.order_count)
         present = model in report.models
         if adapter:
             present = adapter in report.models.get(model, [])
-        # An earlier attempt may have been carried out although its response
-        # was lost.
-        return Outcome.APPLIED if present == load and not report.busy else None
+        expected = engine.order_count or 0
+        engine.order_count = max(expected, report.order_count)
+        if present == load and not report.busy:
+            # An earlier attempt was carried out although its response was lost.
+            engine.unsettled.discard((model, adapter))
+            return Outcome.APPLIED
+        if engine.unsettled and report.order_count > expected:
+            # An order without a response was carried out in the meantime, so
+            # that the state of the engine has to be read again.
+            return Outcome.UNKNOWN
+        return None
 
     async def fetch_report(self) -> engine_client.Report:
         """Fetches a report without updating the state of the engine.
--- a/src/monsoonhinge/fleet/swaps.py
+++ b/src/monsoonhinge/fleet/swaps.py
@@ -67,7 +67,7 @@
     async def _unload(self, model: str) -> bool:
         """Unloads a model; returns whether the engine accepted the order."""
         outcome = await self.channel.execute(load=False, model=model)
-        if outcome is orders.Outcome.REFUSED:
+        if outcome in (orders.Outcome.REFUSED, orders.Outcome.UNKNOWN):
             return False
         await self._wait_for_announcement(
             lambda: model not in self.engine.announced_models, _UNLOAD_TIMEOUT_S
@@ -86,7 +86,10 @@
                 now=loop.time(),
             )
         outcome = await self.channel.execute(load=True, model=swap.model)
-        if outcome is orders.Outcome.REFUSED:
+        if outcome is orders.Outcome.UNKNOWN:
+            # It takes no requests, but its memory stays counted.
+            self.engine.begin_unload(swap.model, loop.time())
+        if outcome in (orders.Outcome.REFUSED, orders.Outcome.UNKNOWN):
             return False
         started_at = loop.time()
         self.engine.begin_load(
