Keep targets in placement that another gateway reaches

Callers saw: requests for models refused while one gateway had a broken path, since no model was loaded on the engines that it could not reach, though all other gateways reached them.

Cause: an engine counted as unreachable as soon as any one gateway could not connect to it.

Change: an engine that runs requests of another gateway stays in placement.

--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -140,11 +140,22 @@
         return result
 
     def unreachable_targets(self) -> set[str]:
-        """Returns the targets that some gateway has failed to connect to."""
+        """Returns the targets that gateways cannot connect to.
+
+        A target that runs requests of another gateway is not among them: the
+        path of one gateway is broken, not the target.
+        """
+        reachable = {
+            use.target
+            for message, _ in self._gateways.values()
+            for use in message.uses
+            if use.running and use.target not in message.unreachable
+        }
         return {
             target
             for message, _ in self._gateways.values()
             for target in message.unreachable
+            if target not in reachable
         }
 
     def running_requests(self) -> dict[str, dict[ModelAdapter, int]]:
