--- a/tests/ingress/test_undelimited_answers.py
+++ b/tests/ingress/test_undelimited_answers.py
@@ -13,8 +13,8 @@
 
 from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import relay
-from monsoonhinge.ingress import target_client
 from monsoonhinge.platform import requests
+from tests.platform import test_endless_answers
 
 _HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 _EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
@@ -58,28 +58,8 @@
         server.close()
 
 
-@contextlib.asynccontextmanager
-async def _response(
-    address: str,
-) -> AsyncIterator[target_client.TargetResponse]:
-    client = target_client.TargetClient()
-    try:
-        response = await client.send(
-            method="POST",
-            address=address,
-            path="/",
-            headers={},
-            body=b"",
-            timeout_s=_DEADLINE_S,
-        )
-        yield response
-        response.close()
-    finally:
-        await client.close()
-
-
 async def _buffered(address: str) -> bytes:
-    async with _response(address) as response:
+    async with test_endless_answers.open_response(address) as response:
         return await response.body()
 
 
@@ -93,7 +73,7 @@
             close_connection=False,
             last_event_id="",
         )
-        async with _response(address) as response:
+        async with test_endless_answers.open_response(address) as response:
             try:
                 return await relayed.relay_stream(
                     response,
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -9,8 +9,6 @@
 import aiohttp
 from aiohttp import web
 
-from monsoonhinge.ingress import process as ingress_process
-from tests.control import stub
 from tests.platform import test_path
 
 _CRASHING_PART = "dead"
@@ -92,13 +90,8 @@
         await self.deployment.announce(self)
 
 
-class Deployment(test_path.Deployment):
-    """A deployment of two gateways and two servers that may crash.
-
-    Attributes:
-        second_gateway: The other gateway.
-        second_port: Its port for callers.
-    """
+class Deployment(test_path.TwoGateways):
+    """Two gateways and two servers that may crash."""
 
     def __init__(self, path: pathlib.Path) -> None:
         super().__init__(path)
@@ -106,24 +99,6 @@
         self.servers = list(self.crashing_servers)
         for server in self.crashing_servers:
             server.deployment = self
-        self.second_port = stub.free_port()
-        self.second_gateway: ingress_process.IngressProcess = self.new_gateway(
-            "gateway-2", self.second_port
-        )
-
-    async def start(self) -> None:
-        await super().start()
-        await self.second_gateway.start()
-
-    async def stop(self) -> None:
-        await self.second_gateway.stop()
-        await super().stop()
-
-    async def is_ready(self) -> bool:
-        return (
-            await super().is_ready()
-            and not self.second_gateway.not_ready_reason()
-        )
 
     def arrivals(self) -> int:
         """Returns how many requests with the part reached a server."""
@@ -137,10 +112,9 @@
 
     async def send_prompt(self, number: int, prompt: str) -> int:
         """Sends a request to one of the gateways in turn."""
-        port = (self.ingress_port, self.second_port)[number % 2]
         try:
             status, _, _ = await self.send_request(
-                f"{prompt}-{number}", prompt=prompt, port=port
+                f"{prompt}-{number}", prompt=prompt, port=self.port_of(number)
             )
         except aiohttp.ClientError:
             return 0
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -81,7 +81,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _response(
+async def open_response(
     address: str,
 ) -> AsyncIterator[target_client.TargetResponse]:
     """Sends a request of a caller and yields the answer."""
@@ -104,13 +104,13 @@
 
 
 async def _request(address: str) -> None:
-    async with _response(address) as response:
+    async with open_response(address) as response:
         await response.body()
 
 
 async def _stream(address: str) -> None:
     splitter = event_stream.EventSplitter()
-    async with _response(address) as response:
+    async with open_response(address) as response:
         async for chunk in response.chunks():
             splitter.feed(chunk)
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -250,6 +250,38 @@
             )
 
 
+class TwoGateways(Deployment):
+    """A deployment with a second gateway.
+
+    Attributes:
+        second_gateway: The other gateway.
+        second_port: Its port for callers.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        super().__init__(path)
+        self.second_port = stub.free_port()
+        self.second_gateway = self.new_gateway("gateway-2", self.second_port)
+
+    async def start(self) -> None:
+        await super().start()
+        await self.second_gateway.start()
+
+    async def stop(self) -> None:
+        await self.second_gateway.stop()
+        await super().stop()
+
+    async def is_ready(self) -> bool:
+        return (
+            await super().is_ready()
+            and not self.second_gateway.not_ready_reason()
+        )
+
+    def port_of(self, number: int) -> int:
+        """Returns the ports of the gateways in turn."""
+        return (self.ingress_port, self.second_port)[number % 2]
+
+
 async def wait_until(condition: Callable[[], Awaitable[bool]]) -> None:
     """Waits until a condition holds."""
     async with asyncio.timeout(_TIMEOUT_S):
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 
-from tests.control import stub
 from tests.platform import test_path
 
 _LIMIT_PER_S = 3.0
@@ -61,7 +60,7 @@
         )
 
 
-class Deployment(test_path.Deployment):
+class Deployment(test_path.TwoGateways):
     """Two gateways and two servers that may name a limit.
 
     Attributes:
@@ -72,28 +71,12 @@
         super().__init__(path)
         self.limited_servers = [LimitedServer("s1"), LimitedServer("s2")]
         self.servers = list(self.limited_servers)
-        self.second_port = stub.free_port()
-        self.second_gateway = self.new_gateway("gateway-2", self.second_port)
-
-    async def start(self) -> None:
-        await super().start()
-        await self.second_gateway.start()
-
-    async def stop(self) -> None:
-        await self.second_gateway.stop()
-        await super().stop()
-
-    async def is_ready(self) -> bool:
-        return (
-            await super().is_ready()
-            and not self.second_gateway.not_ready_reason()
-        )
 
     async def send_load(self) -> list[int]:
         """Sends requests to both gateways in turn; returns the statuses."""
         requests = []
         for number in range(int(_LOAD_PER_S * _LOAD_S)):
-            port = (self.ingress_port, self.second_port)[number % 2]
+            port = self.port_of(number)
             requests.append(
                 asyncio.create_task(self.send_request(f"r{number}", port=port))
             )
