Forget what a lost control member suspected

Callers saw nothing. A gateway kept the parts that a control member suspected when the connection to it was lost, for as long as it ran, and went on to report answers to them. A member sends its suspects again when it is connected.

--- a/src/monsoonhinge/ingress/crash_reports.py
+++ b/src/monsoonhinge/ingress/crash_reports.py
@@ -76,7 +76,10 @@
         """
         now = asyncio.get_running_loop().time()
         new = set(suspects) - self._all_suspects()
-        self._suspects[member] = set(suspects)
+        if suspects:
+            self._suspects[member] = set(suspects)
+        else:
+            self._suspects.pop(member, None)
         self._reported_at = {
             part: at
             for part, at in self._reported_at.items()
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -84,6 +84,7 @@
             peer=link.peer,
             state="lost",
         )
+        self._on_quarantines(link.peer, fleet.PromptQuarantines())
         self._active.pop(link, None)
         self._subscribed_members.discard(link)
         others = [
