Let unconfirmed rate limits expire, and drop what belongs to them

Callers would see: a target that named a limit of 0 stays closed, since a limit that nobody confirms expired only when a gateway subscribed. Locks and fallback buckets of gateways were kept for all targets that ever named a limit.

Change: the holder drops expired limits whenever it is asked; a lock and a fallback bucket belong to the limit of a target and go with it.

--- a/src/monsoonhinge/fleet/rate_limits.py
+++ b/src/monsoonhinge/fleet/rate_limits.py
@@ -44,6 +44,7 @@
 
     def record(self, limit: fleet.RateLimit, now: float) -> bool:
         """Applies what a target named; returns whether its limit changed."""
+        self._expire(now)
         bucket = self._buckets.get(limit.target)
         if bucket is not None and limit.incarnation < bucket.incarnation:
             return False
@@ -71,6 +72,7 @@
         Returns:
             0 if the request may be sent, else the seconds until it may be.
         """
+        self._expire(now)
         bucket = self._buckets.get(target)
         if bucket is None:
             return 0.0
--- a/src/monsoonhinge/ingress/rate_limiter.py
+++ b/src/monsoonhinge/ingress/rate_limiter.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-import dataclasses
 
 from monsoonhinge.ingress import metrics
 from monsoonhinge.ingress import target_table
@@ -23,28 +22,6 @@
 _FALLBACK_RETRY_S = 0.25
 
 
-@dataclasses.dataclass(slots=True)
-class _FallbackBucket:
-    """Permits of this gateway alone while no lease holder replies.
-
-    It starts empty, so that gateways do not all send at once when the holder
-    is lost.
-    """
-
-    level: float
-    updated_at: float
-
-    def take(self, requests_per_s: float, now: float) -> bool:
-        """Takes a permit; returns whether there was one."""
-        elapsed_s = now - self.updated_at
-        self.level = min(1.0, self.level + elapsed_s * requests_per_s)
-        self.updated_at = now
-        if self.level < 1.0:
-            return False
-        self.level -= 1.0
-        return True
-
-
 class RateLimiter:
     """Obtains permits for requests to targets that name a rate limit.
 
@@ -64,8 +41,6 @@
         self._request_permit = request_permit
         self._report = report
         self._dispatch_at = dispatch_at
-        self._locks: dict[str, asyncio.Lock] = {}
-        self._fallback: dict[str, _FallbackBucket] = {}
 
     def record_response(
         self,
@@ -121,14 +96,13 @@
         If not, the target takes no requests of this gateway until the time
         that the lease holder named.
         """
-        if target.rate_limit is None:
+        limit = target.rate_limit
+        if limit is None:
             return True
-        lock = self._locks.setdefault(target.name, asyncio.Lock())
         loop = asyncio.get_running_loop()
-        async with lock:
-            limit = target.rate_limit
-            if limit is None:
-                return True
+        async with limit.lock:
+            if target.rate_limit is not limit:
+                return target.rate_limit is None
             if loop.time() < limit.closed_until:
                 return False
             wait_s = await self._wait_s(target, limit)
@@ -146,22 +120,18 @@
             wait_s = await self._request_permit(target.name)
         except errors.MonsoonhingeError:
             metrics.PERMITS.labels("fallback").inc()
-            return self._fallback_wait_s(target, limit, loop.time())
-        self._fallback.pop(target.name, None)
+            return self._fallback_wait_s(limit, loop.time())
+        limit.fallback = None
         metrics.PERMITS.labels("denied" if wait_s > 0 else "granted").inc()
         return wait_s
 
     def _fallback_wait_s(
-        self,
-        target: target_table.Target,
-        limit: target_table.RateLimit,
-        now: float,
+        self, limit: target_table.RateLimit, now: float
     ) -> float:
+        if limit.fallback is None:
+            limit.fallback = target_table.FallbackBucket(updated_at=now)
         requests_per_s = limit.requests_per_s / max(1, self.gateway_count)
-        bucket = self._fallback.setdefault(
-            target.name, _FallbackBucket(level=0.0, updated_at=now)
-        )
-        if bucket.take(requests_per_s, now):
+        if limit.fallback.take(requests_per_s, now):
             return 0.0
         return _FALLBACK_RETRY_S
 
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -74,5 +74,4 @@
     limits = rate_limits.RateLimits()
     limits.record(_limit(0.0), 0.0)
     assert limits.take("i-1", 1.0) > 0.0
-    limits.snapshot(1.0 + rate_limits.EXPIRY_S)
     assert limits.take("i-1", 1.0 + rate_limits.EXPIRY_S) == 0.0
