Take rate limits only from responses of the addressed target

Callers would see: a target limited, or its limit ended, by a response that another target at a reused address gave, or that cannot be attributed.

Cause: the limit was read from the head before it was known whose it is. Change: only responses that the addressed target gave set or end its limit.

--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -26,6 +26,12 @@
 # A timeout this close to the deadline is reported as a timeout of the request.
 _DEADLINE_TOLERANCE_S = 0.05
 
+# Responses that come from the addressed target.
+_TARGET_RESPONDED = (
+    dialect.ExecutionStatus.RAN,
+    dialect.ExecutionStatus.NOT_RUN,
+)
+
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
@@ -169,7 +175,7 @@
                 status=response.status,
                 headers=response.headers,
             )
-            self._record_head(target, sent_at, response, execution.value)
+            self._record_head(target, sent_at, response, execution)
             match execution:
                 case dialect.ExecutionStatus.RAN:
                     self.attempts += 1
@@ -343,14 +349,15 @@
         target: target_table.Target,
         sent_at: float,
         response: target_client.TargetResponse,
-        outcome: str,
+        execution: dialect.ExecutionStatus,
     ) -> None:
         """Records what the head of a response tells about its target."""
         now = self._loop.time()
         rate_limit = self._context.dialect.rate_limit(response.headers)
-        self._context.rate_limiter.record_response(
-            target, rate_limit, sent_at=sent_at, now=now
-        )
+        if execution in _TARGET_RESPONDED:
+            self._context.rate_limiter.record_response(
+                target, rate_limit, sent_at=sent_at, now=now
+            )
         request_events.attempt(
             parsed=self.parsed,
             admitted=self.admitted,
@@ -360,5 +367,5 @@
             head_s=now - sent_at,
             status=response.status,
             rate_limit=rate_limit,
-            outcome=outcome,
+            outcome=execution.value,
         )
