Use plain names in the search for prompts that crash targets

Names of private methods and one private class, and comments, only: convict and break are now cause, evidence and broken target.

--- a/src/monsoonhinge/fleet/crash_evidence.py
+++ b/src/monsoonhinge/fleet/crash_evidence.py
@@ -17,8 +17,8 @@
 MIN_CRASHES = 3
 
 # Several targets can crash at the same moment for another reason, such as a
-# power loss. A part that was ever answered is convicted only if no target has
-# answered it for this long while targets crashed.
+# power loss. A part that was ever answered counts as the cause only if no
+# target has answered it for this long while targets crashed.
 MIN_UNSERVED_S = 2.0
 
 # Crashes that are further apart are not related to each other.
@@ -85,7 +85,7 @@
         prompts = {frozenset(prompt.parts) for prompt in message.prompts}
         crash.prompts |= prompts
         renewed = self._renew(prompts, message.target, now)
-        return renewed + self._convict(prompts, now)
+        return renewed + self._find_causes(prompts, now)
 
     def record_served(
         self, served: Collection[fleet.ServedPart], now: float
@@ -126,23 +126,25 @@
             and any(item.parts <= prompt for prompt in prompts)
         ]
 
-    def _convict(self, prompts: set[Prompt], now: float) -> list[Quarantine]:
+    def _find_causes(
+        self, prompts: set[Prompt], now: float
+    ) -> list[Quarantine]:
         """Quarantines what these prompts share with those of other crashes.
 
         Parts without any answer come first, since a crash that they explain
         is no evidence against parts that targets have answered.
         """
-        convicted = []
+        found = []
         parts = frozenset[str]().union(*prompts)
         for part in sorted(parts, key=lambda p: (p in self._served_at, p)):
             crashes = self._crashes_against(part, now)
-            if not self._is_convicted(part, crashes):
+            if not self._has_enough_evidence(part, crashes):
                 continue
             common = self._common_parts(part, crashes, now)
             if not any(item.parts <= common for item in self.active(now)):
                 targets = [crash.target for crash in crashes]
-                convicted.append(self._quarantine(common, targets, now))
-        return convicted
+                found.append(self._quarantine(common, targets, now))
+        return found
 
     def _crashes_against(self, part: str, now: float) -> list[_Crash]:
         """Returns the crashes that are evidence against a part."""
@@ -168,7 +170,7 @@
             for prompt in crash.prompts
         )
 
-    def _is_convicted(self, part: str, crashes: list[_Crash]) -> bool:
+    def _has_enough_evidence(self, part: str, crashes: list[_Crash]) -> bool:
         if len(crashes) < MIN_CRASHES:
             return False
         if part not in self._served_at:
@@ -191,7 +193,7 @@
     def _common_parts(
         self, part: str, crashes: list[_Crash], now: float
     ) -> Prompt:
-        """Returns the convicted parts that all prompts with a part contain.
+        """Returns the possible causes that all prompts with a part contain.
 
         A sound part that only ever occurs together with the crashing one is
         among them. It is not refused alone, so that a request with it can
@@ -206,7 +208,9 @@
         return frozenset(
             other
             for other in frozenset.intersection(*prompts)
-            if self._is_convicted(other, self._crashes_against(other, now))
+            if self._has_enough_evidence(
+                other, self._crashes_against(other, now)
+            )
         )
 
     def _quarantine(
--- a/src/monsoonhinge/ingress/crash_reports.py
+++ b/src/monsoonhinge/ingress/crash_reports.py
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Break:
+class _BrokenTarget:
     """A broken target and the prompts that it was about to answer."""
 
     address: str
@@ -57,7 +57,7 @@
         )
         self._suspects: dict[str, set[str]] = {}
         self._reported_at: dict[str, float] = {}
-        self._breaks: dict[_Incarnation, _Break] = {}
+        self._broken_targets: dict[_Incarnation, _BrokenTarget] = {}
         self._checks: set[asyncio.Task[None]] = set()
 
     def record_served(self, parts: list[str], now: float) -> None:
@@ -110,10 +110,10 @@
         if answered or not parts:
             return
         key = (target.name, target.registration.incarnation)
-        broken = self._breaks.get(key)
+        broken = self._broken_targets.get(key)
         if broken is None:
-            broken = _Break(address=target.registration.address)
-            self._breaks[key] = broken
+            broken = _BrokenTarget(address=target.registration.address)
+            self._broken_targets[key] = broken
             check = asyncio.get_running_loop().create_task(self._check(key))
             self._checks.add(check)
             check.add_done_callback(self._checks.discard)
@@ -126,7 +126,7 @@
 
     async def _check(self, key: _Incarnation) -> None:
         await asyncio.sleep(_BATCH_DELAY_S)
-        broken = self._breaks.pop(key)
+        broken = self._broken_targets.pop(key)
         crashed = await self._refuses_connections(broken.address)
         target, incarnation = key
         events.emit(
@@ -164,7 +164,9 @@
             if part in self._served_at
         ]
 
-    def _report(self, key: _Incarnation, broken: _Break) -> fleet.TargetCrash:
+    def _report(
+        self, key: _Incarnation, broken: _BrokenTarget
+    ) -> fleet.TargetCrash:
         now = asyncio.get_running_loop().time()
         parts = sorted({part for prompt in broken.prompts for part in prompt})
         return fleet.TargetCrash(
