Check the fleet lease before an order that fences an engine

Cause: after an engine refused an order, the lease holder reads its state again and fences it with an order, without looking at its lease. A holder that was frozen for 6.9 s did so as it woke: where engines check no fencing tokens (fencingEnabled is false on further), both holders' orders count. Ruled out: a wrong lease clock (all other orders check the lease, and none of them was sent).

Change: the fencing order checks the lease like every other one; without it the member stops its controller.

Looked for on the other path: scheduler/orders checks the lease before each order.

--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -89,7 +89,17 @@
         self.engine.apply_report(second, asyncio.get_running_loop().time())
         return True
 
+    def _require_lease(self) -> None:
+        """Checks that this member may send orders now.
+
+        Raises:
+            LeaseLostError: It may not.
+        """
+        if not self._lease_held():
+            raise LeaseLostError("fleet lease is not held", step="order")
+
     async def _fence(self, report: engine_client.Report) -> bool:
+        self._require_lease()
         response = await self._client.order(
             address=self.engine.registration.address,
             target=self.engine.target,
@@ -121,10 +131,7 @@
         max_attempts = _MAX_ADAPTER_ATTEMPTS if adapter else _MAX_ATTEMPTS
         async with self._lock:
             for attempt in range(max_attempts):
-                if not self._lease_held():
-                    raise LeaseLostError(
-                        "fleet lease is not held", step="order"
-                    )
+                self._require_lease()
                 if self.engine.order_count is None:
                     return self._failed(model, adapter)
                 if load and self.engine.free_bytes() < 0:
--- a/tests/fleet/test_engine.py
+++ b/tests/fleet/test_engine.py
@@ -142,6 +142,22 @@
     assert not client.orders
 
 
+def test_member_without_the_lease_does_not_fence_an_engine() -> None:
+    """Guards against an order of a holder that was frozen past its lease.
+
+    An order that an engine refused makes the holder read its state again, and
+    fence it. Engines that do not check fencing tokens accept that order.
+    """
+    client = _FakeClient(
+        engine_client.OrderResponse.APPLIED,
+        reports=[world.report({"m1": []}, order_count=3)],
+    )
+    channel = _channel(world.engine(), client, lease_held=False)
+    with pytest.raises(orders.LeaseLostError):
+        asyncio.run(channel.synchronize())
+    assert not client.orders
+
+
 def test_load_is_not_repeated_once_memory_is_taken() -> None:
     """Guards against exceeding the memory limit after an unplanned model."""
     engine = world.engine(models=("m1", "m2", "m3"))
