Count suspensions of the machine in leases and in the age of the configuration

Leases and the age of the configuration were measured on the steady clock, which does not count the time for which a machine is suspended. A holder suspended for a minute held its lease when it woke, and a gateway accepted keys that had been withdrawn meanwhile.

Change: runtime/clock gives the time of suspensions (difference of two system clocks); lease client and subscription add it, for both paths (control/ serves them all).

Evidence: test_lease_ends_while_the_machine_is_suspended and test_configuration_is_stale_after_the_machine_was_suspended failed before.

--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -16,6 +16,7 @@
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import clock
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
 
@@ -146,10 +147,12 @@
     def staleness(self, now: float) -> float:
         """Returns the seconds since the configuration was known to be current.
 
+        They include the time for which the machine was suspended.
+
         Args:
             now: Current time of the event loop.
         """
-        return self._subscription.staleness(now)
+        return self._subscription.staleness(now + clock.suspended_s())
 
     async def propose(
         self,
@@ -300,7 +303,7 @@
         loop = asyncio.get_running_loop()
         while True:
             for action in self._subscription.tick(
-                loop.time(), self._connected()
+                loop.time() + clock.suspended_s(), self._connected()
             ):
                 match action:
                     case subscription.Disconnect(member=member):
@@ -338,7 +341,8 @@
         except errors.MonsoonhingeError as error:
             _LOG.debug("cannot watch member %s: %s", member, error)
             self._subscription.handle_subscribe_failure(
-                member, asyncio.get_running_loop().time()
+                member,
+                asyncio.get_running_loop().time() + clock.suspended_s(),
             )
 
     async def _probe(self, probe: subscription.Probe) -> None:
--- a/src/monsoonhinge/control/lease_client.py
+++ b/src/monsoonhinge/control/lease_client.py
@@ -7,6 +7,7 @@
 from monsoonhinge.control import lease_state
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import clock
 from monsoonhinge.runtime import errors
 
 _ACQUIRE_TIMEOUT_S = 2.0
@@ -21,7 +22,9 @@
     """Acquires and renews one lease for this process.
 
     The caller invokes ``acquire_or_renew`` periodically and must check
-    ``held`` before each action that requires the lease.
+    ``held`` before each action that requires the lease. A lease also runs out
+    while the machine is suspended, which the time of the event loop does not
+    count.
 
     Attributes:
         name: Lease name.
@@ -45,11 +48,15 @@
     @property
     def usable_until(self) -> float:
         """Time of the event loop at which the lease becomes unusable."""
-        return self._lease.usable_until
+        return self._lease.usable_until - clock.suspended_s()
 
     def held(self, now: float) -> bool:
-        """Returns whether the lease may be used now."""
-        return self._lease.is_usable(now)
+        """Returns whether the lease may be used now.
+
+        Args:
+            now: Current time of the event loop.
+        """
+        return self._lease.is_usable(now + clock.suspended_s())
 
     async def acquire_or_renew(self) -> None:
         """Acquires the lease, or renews it when renewal is due.
@@ -57,14 +64,13 @@
         Raises:
             errors.MonsoonhingeError: No control leader replied in time.
         """
-        loop = asyncio.get_running_loop()
         try:
-            if self._lease.next_step(loop.time()) is lease_state.Step.ACQUIRE:
+            if self._lease.next_step(_now()) is lease_state.Step.ACQUIRE:
                 await self._acquire()
-            if self._lease.next_step(loop.time()) is lease_state.Step.RENEW:
+            if self._lease.next_step(_now()) is lease_state.Step.RENEW:
                 await self._renew()
         except errors.MonsoonhingeError:
-            self._lease.handle_failure(loop.time())
+            self._lease.handle_failure(_now())
             raise
 
     def invalidate(self) -> None:
@@ -80,7 +86,7 @@
                 self._lease.fencing,
             )
             self._invalidated_fencing = self._lease.fencing
-        self._lease.handle_loss(asyncio.get_running_loop().time())
+        self._lease.handle_loss(_now())
 
     async def release(self) -> None:
         """Stops using the lease and releases it for other processes.
@@ -106,9 +112,7 @@
             commands.LeaseResult,
             timeout=_ACQUIRE_TIMEOUT_S,
         )
-        self._lease.handle_acquire_result(
-            result, asyncio.get_running_loop().time()
-        )
+        self._lease.handle_acquire_result(result, _now())
         if not result.granted:
             return
         if result.fencing == self._invalidated_fencing:
@@ -121,8 +125,7 @@
             )
 
     async def _renew(self) -> None:
-        loop = asyncio.get_running_loop()
-        sent_at = loop.time()
+        sent_at = _now()
         fencing = self._lease.fencing
         try:
             reply = await self._control.request(
@@ -136,10 +139,15 @@
             if error.code != _LEASE_LOST_CODE:
                 raise
             _LOG.warning("lease %s lost: the leader refused renewal", self.name)
-            self._lease.handle_loss(loop.time())
+            self._lease.handle_loss(_now())
             return
         # The lease may have been invalidated or released during the request.
         if self._lease.fencing == fencing:
             self._lease.handle_renewal(
                 sent_at=sent_at, ttl_s=reply.ttl_ms / 1000
             )
+
+
+def _now() -> float:
+    """Returns the time of the event loop, plus the time of suspensions."""
+    return asyncio.get_running_loop().time() + clock.suspended_s()
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 import json
 import random
+import time
 
 import pytest
 
@@ -226,3 +227,73 @@
         assert second.fencing > fencing
 
     _run(scenario)
+
+
+# Longer than any lease and than any configuration may be unconfirmed.
+_SUSPENSION_S = 60.0
+
+
+class _SuspendedClock:
+    """Replaces the system clock of suspensions.
+
+    Attributes:
+        suspended_s: Time for which the machine was suspended.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.suspended_s = 0.0
+        monkeypatch.setattr(
+            "time.clock_gettime",
+            lambda clock_id: self.suspended_s
+            if clock_id == time.CLOCK_BOOTTIME
+            else 0.0,
+        )
+
+
+def test_lease_ends_while_the_machine_is_suspended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two lease holders after one was suspended.
+
+    The steady clock does not count the suspension, so that the lease seemed to
+    have most of its time left.
+    """
+    system_clock = _SuspendedClock(monkeypatch)
+
+    async def scenario(
+        cluster: stub.Cluster, client: control_client.Client
+    ) -> None:
+        lease = lease_client.LeaseClient(
+            name="l", holder="n/1", control=client
+        )
+        await lease.acquire_or_renew()
+        now = asyncio.get_running_loop().time
+        assert lease.held(now())
+        system_clock.suspended_s = _SUSPENSION_S
+        assert not lease.held(now())
+        await lease.acquire_or_renew()
+        assert lease.held(now())
+
+    _run(scenario)
+
+
+def test_configuration_is_stale_after_the_machine_was_suspended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a withdrawn key that a suspended gateway accepts."""
+    system_clock = _SuspendedClock(monkeypatch)
+
+    async def scenario(
+        cluster: stub.Cluster, client: control_client.Client
+    ) -> None:
+        now = asyncio.get_running_loop().time
+        await _until(lambda: client.staleness(now()) < 1.0)
+        for member in cluster.members.values():
+            member.is_unresponsive = True
+        system_clock.suspended_s = _SUSPENSION_S
+        assert client.staleness(now()) >= _SUSPENSION_S
+        for member in cluster.members.values():
+            member.is_unresponsive = False
+        await _until(lambda: client.staleness(now()) < 1.0)
+
+    _run(scenario)
