Send nothing to targets that say in a response that they are leaving

Cause: the header Server-Leaving was known to no module, so that a target that said in an answer that it leaves got requests until its announcement or its silence told the control members.

Change: the gateway that reads it sends that incarnation nothing new, in touch with control or not, and sends its registration, marked as leaving, to all members. Members keep the mark for the incarnation, publish it and place nothing there; engines also say it to the lease holder in answers to orders and reports. A gateway tells each member that it connects to which targets leave or have left, so that a restart of all members loses nothing. Silent targets are published as gone before members forget them; gateways forget departures after a minute.

--- a/src/monsoonhinge/fleet/engine_client.py
+++ b/src/monsoonhinge/fleet/engine_client.py
@@ -1,5 +1,6 @@
 """Interface through which the fleet sends orders to model engines."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 import typing
@@ -80,7 +81,14 @@
 
 
 class EngineClient(typing.Protocol):
-    """Sends orders to engines and fetches their reports."""
+    """Sends orders to engines and fetches their reports.
+
+    Attributes:
+        on_leaving: Called with the id of a target whose response says that it
+            is leaving.
+    """
+
+    on_leaving: Callable[[str], None]
 
     async def order(
         self, *, address: str, target: str, order: Order, timeout_s: float
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -19,6 +19,7 @@
 from monsoonhinge.fleet import leasing
 from monsoonhinge.fleet import permits
 from monsoonhinge.fleet import quarantines
+from monsoonhinge.fleet import registrar
 from monsoonhinge.fleet import registry as target_registry
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import fleet
@@ -60,6 +61,12 @@
         self.feed = feed.Feed(
             registry=self.registry, member_names=self._member_names
         )
+        self.registrar = registrar.Registrar(
+            registry=self.registry,
+            feed=self.feed,
+            members=lambda: self.transport.peers.values(),
+            on_change=lambda: self._plan_requested.set(),
+        )
         self.quarantines = quarantines.QuarantinePublisher(
             broadcast=self.feed.broadcast
         )
@@ -91,6 +98,7 @@
             lease_held=self.lease.held, broadcast=self.feed.broadcast
         )
         self.controller: controller.PlacementController | None = None
+        client.on_leaving = self.registrar.record_leaving
         self._engine_client = client
         self._plan_requested = asyncio.Event()
         self._announced_leases = fleet.FleetActive()
@@ -190,9 +198,9 @@
                     link.notify(self.controller.snapshot(now))
                 return messages.Ack()
             case fleet.Registrations():
-                for item in message.registrations:
-                    self.feed.publish(self.registry.merge(item, now))
-                self._plan_requested.set()
+                self.registrar.merge(
+                    message, from_member=link.peer_hello.role == "control"
+                )
                 return None
             case fleet.FleetDemand():
                 self.demand_tracker.update(message, now)
@@ -223,38 +231,16 @@
         leaving = registration.state != target_registry.READY
         if leaving and not self._saw_leader_recently():
             return False
-        now = asyncio.get_running_loop().time()
-        self._publish(self.registry.record_announcement(registration, now))
+        self.registrar.announce(registration)
         return True
 
     def deregister(self, target: str) -> bool:
         """Records a deregistration; returns whether it is acknowledged."""
         if not self._saw_leader_recently():
             return False
-        now = asyncio.get_running_loop().time()
-        self._publish(self.registry.deregister(target, now))
+        self.registrar.deregister(target)
         return True
 
-    def _publish(self, changed: list[fleet.Registration]) -> None:
-        if not changed:
-            return
-        for item in changed:
-            events.emit(
-                events.TARGET,
-                target=item.target,
-                incarnation=item.incarnation,
-                sequence=item.sequence,
-                state=item.state,
-                address=item.address,
-                service=item.service,
-            )
-        self.feed.publish(changed)
-        message = fleet.Registrations(registrations=changed)
-        for peer in self.transport.peers.values():
-            with contextlib.suppress(errors.ConnectionLost):
-                peer.notify(message)
-        self._plan_requested.set()
-
     def _burst_allowance(self, team: schema.Team) -> int:
         """Returns the tokens a team may use at once beyond its burst.
 
@@ -354,7 +340,7 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             now = loop.time()
-            self._publish(self.registry.expire(now))
+            self.registrar.expire()
             leader = self.driver.leader
             if leader:
                 self._leader_seen_at = now
--- /dev/null
+++ b/src/monsoonhinge/fleet/registrar.py
@@ -0,0 +1,108 @@
+"""Registers targets at a control member and publishes what changes."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import contextlib
+import typing
+
+from monsoonhinge.fleet import feed
+from monsoonhinge.fleet import registry as target_registry
+from monsoonhinge.protocol import fleet
+from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
+
+
+class Member(typing.Protocol):
+    """Connection to another control member."""
+
+    def notify(self, message: messages.Message) -> None:
+        """Sends a message without a reply.
+
+        Raises:
+            errors.ConnectionLost: There is no connection.
+        """
+
+
+class Registrar:
+    """Updates the registry, and tells gateways and members what changed.
+
+    Attributes:
+        registry: Registrations of this member.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: target_registry.Registry,
+        feed: feed.Feed,
+        members: Callable[[], Iterable[Member]],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Initializes the registrar.
+
+        Args:
+            registry: Registrations of this member.
+            feed: Sends registrations to gateways.
+            members: Returns the connections to the other members.
+            on_change: Called after registrations have changed.
+        """
+        self.registry = registry
+        self._feed = feed
+        self._members = members
+        self._on_change = on_change
+
+    def announce(self, registration: fleet.Registration) -> None:
+        """Records an announcement that a target sent to this member."""
+        self._publish(self.registry.record_announcement(registration, _now()))
+
+    def deregister(self, target: str) -> None:
+        """Records a deregistration that a target sent to this member."""
+        self._publish(self.registry.deregister(target, _now()))
+
+    def record_leaving(self, target: str) -> None:
+        """Records that a target said in a response that it is leaving."""
+        self._publish(self.registry.record_leaving(target, _now()))
+
+    def merge(self, message: fleet.Registrations, *, from_member: bool) -> None:
+        """Merges registrations of a member, or what a gateway has learned.
+
+        Members publish to each other. What a gateway has learned is passed on
+        to them, since it may not reach all.
+        """
+        for item in message.registrations:
+            changed = self.registry.merge(item, _now())
+            if from_member:
+                self._feed.publish(changed)
+            else:
+                self._publish(changed)
+        self._on_change()
+
+    def expire(self) -> None:
+        """Marks targets without recent announcements, and publishes them."""
+        self._publish(self.registry.expire(_now()))
+
+    def _publish(self, changed: list[fleet.Registration]) -> None:
+        if not changed:
+            return
+        for item in changed:
+            events.emit(
+                events.TARGET,
+                target=item.target,
+                incarnation=item.incarnation,
+                sequence=item.sequence,
+                state=item.state,
+                address=item.address,
+                service=item.service,
+                leaving=item.leaving,
+            )
+        self._feed.publish(changed)
+        message = fleet.Registrations(registrations=changed)
+        for member in self._members():
+            with contextlib.suppress(errors.ConnectionLost):
+                member.notify(message)
+        self._on_change()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/monsoonhinge/fleet/registry.py
+++ b/src/monsoonhinge/fleet/registry.py
@@ -93,10 +93,23 @@
             return []
         changed = self._apply(registration, now)
         if changed is None:
-            return []
+            return self._merge_leaving(registration, now)
         self.entries[registration.target].announced_at = None
         return changed
 
+    def record_leaving(
+        self, target: str, now: float
+    ) -> list[fleet.Registration]:
+        """Records that a target said in a response that it is leaving.
+
+        Returns:
+            The changed registration, or none if it was known.
+        """
+        entry = self.entries.get(target)
+        if entry is None or entry.registration.leaving:
+            return []
+        return [self._set_leaving(entry, now)]
+
     def deregister(self, target: str, now: float) -> list[fleet.Registration]:
         """Records a deregistration; returns the changed registrations."""
         entry = self.entries.get(target)
@@ -107,8 +120,9 @@
     def expire(self, now: float) -> list[fleet.Registration]:
         """Marks targets without recent announcements as silent.
 
-        A draining target without announcements has left. Deregistered and
-        silent targets are dropped after the retention time.
+        A draining target without announcements has left, and so has one that
+        was silent for the retention time. Targets that left are dropped after
+        that time.
 
         Returns:
             Registrations that changed.
@@ -116,14 +130,19 @@
         changed = []
         for target, entry in list(self.entries.items()):
             state = entry.registration.state
-            if state in (GONE, SILENT):
-                if now - entry.changed_at > _RETENTION_S:
-                    del self.entries[target]
+            retained = now - entry.changed_at <= _RETENTION_S
+            if state == GONE and not retained:
+                del self.entries[target]
+            elif state == SILENT and not retained:
+                changed.append(self._set_state(entry, GONE, now))
+            elif state in (GONE, SILENT):
+                continue
             elif (
                 entry.announced_at is not None
                 and now - entry.announced_at > self.silent_after_s
             ):
-                left = GONE if state == DRAINING else SILENT
+                was_leaving = state == DRAINING or entry.registration.leaving
+                left = GONE if was_leaving else SILENT
                 changed.append(self._set_state(entry, left, now))
         return changed
 
@@ -133,6 +152,7 @@
             entry.registration
             for entry in self.entries.values()
             if entry.registration.state == READY
+            and not entry.registration.leaving
         ]
 
     def _apply(
@@ -155,6 +175,8 @@
             registration, superseded_deregistration = _resolve_deregistration(
                 registration, entry
             )
+            if entry.registration.leaving:
+                registration = dataclasses.replace(registration, leaving=True)
         changed = []
         for other in list(self.entries.values()):
             known = other.registration
@@ -197,6 +219,27 @@
             return registration.sequence < known.sequence
         return registration.sequence <= known.sequence
 
+    def _merge_leaving(
+        self, registration: fleet.Registration, now: float
+    ) -> list[fleet.Registration]:
+        """Takes from an outdated registration that its target is leaving."""
+        entry = self.entries.get(registration.target)
+        if (
+            entry is None
+            or not registration.leaving
+            or entry.registration.leaving
+            or not _same_incarnation(registration, entry.registration)
+        ):
+            return []
+        return [self._set_leaving(entry, now)]
+
+    def _set_leaving(self, entry: Entry, now: float) -> fleet.Registration:
+        entry.registration = dataclasses.replace(
+            entry.registration, leaving=True
+        )
+        entry.changed_at = now
+        return entry.registration
+
     def _set_state(
         self, entry: Entry, state: str, now: float
     ) -> fleet.Registration:
--- a/src/monsoonhinge/ingress/dialect.py
+++ b/src/monsoonhinge/ingress/dialect.py
@@ -123,6 +123,12 @@
         another one or none. None if the response names no limit.
         """
 
+    def is_leaving(self, headers: typing.Mapping[str, str]) -> bool:
+        """Returns whether a target says that it is leaving.
+
+        It takes no new requests then, and completes those that it has.
+        """
+
     def response_headers(
         self, headers: typing.Mapping[str, str]
     ) -> multidict.CIMultiDict[str]:
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -50,6 +50,7 @@
         on_placements: Callable[[fleet.Placements], None],
         on_quarantines: Callable[[str, fleet.PromptQuarantines], None],
         on_rate_limits: Callable[[fleet.RateLimits], None],
+        current_departures: Callable[[], list[fleet.Registration]],
         current_demand: Callable[[], fleet.FleetDemand],
     ) -> None:
         super().__init__(members=members, identity=identity, listener=listener)
@@ -59,6 +60,7 @@
         self._on_placements = on_placements
         self._on_quarantines = on_quarantines
         self._on_rate_limits = on_rate_limits
+        self._current_departures = current_departures
         self._current_demand = current_demand
         # Members to whose registrations this gateway subscribes.
         self._subscribed_members: set[connection.Connection] = set()
@@ -75,6 +77,10 @@
             state="connected",
         )
         self._subscribe_to_member(link)
+        departures = self._current_departures()
+        if departures:
+            with contextlib.suppress(errors.ConnectionLost):
+                link.notify(fleet.Registrations(registrations=departures))
 
     def disconnected(self, link: connection.Connection) -> None:
         """Drops the subscription to a member and replaces it by another."""
@@ -161,7 +167,10 @@
 
     def report_to_all(
         self,
-        report: fleet.TargetCrash | fleet.PartsServed | fleet.RateLimits,
+        report: fleet.TargetCrash
+        | fleet.PartsServed
+        | fleet.RateLimits
+        | fleet.Registrations,
     ) -> None:
         """Sends a report to all connected control members.
 
--- a/src/monsoonhinge/ingress/gateway_context.py
+++ b/src/monsoonhinge/ingress/gateway_context.py
@@ -11,6 +11,7 @@
 from monsoonhinge.ingress import rate_limiter
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import target_client
+from monsoonhinge.ingress import target_notices
 from monsoonhinge.ingress import wait_queue
 
 
@@ -25,6 +26,7 @@
         wait_queue: Requests that wait for a target.
         retry_budget: Budget for retries.
         rate_limiter: Keeps requests within the rate limits of targets.
+        notices: Applies what targets say about themselves in responses.
         quarantine: Prompts that must not reach any target.
         crash_reporter: Reports crashed targets.
         still_authorized: Returns whether the key of an admitted request is
@@ -41,6 +43,7 @@
     wait_queue: wait_queue.WaitQueue
     retry_budget: retry_budget.RetryBudget
     rate_limiter: rate_limiter.RateLimiter
+    notices: target_notices.TargetNotices
     quarantine: prompt_quarantine.PromptQuarantine
     crash_reporter: crash_reports.CrashReporter
     still_authorized: Callable[[admission.AdmittedRequest], bool]
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -23,6 +23,7 @@
 from monsoonhinge.ingress import request_handler
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import target_client
+from monsoonhinge.ingress import target_notices
 from monsoonhinge.ingress import target_table
 from monsoonhinge.ingress import wait_queue
 from monsoonhinge.protocol import fleet
@@ -83,6 +84,7 @@
             on_placements=self._on_placements,
             on_quarantines=self._on_quarantines,
             on_rate_limits=self._on_rate_limits,
+            current_departures=self._current_departures,
             current_demand=self._current_demand,
         )
         self.admission = admission.Admission(
@@ -104,6 +106,12 @@
             report=self.fleet_client.report_to_all,
             dispatch_at=self._dispatch_waiting_at,
         )
+        self.notices = target_notices.TargetNotices(
+            request_dialect=request_dialect,
+            targets=self.targets,
+            limiter=self.rate_limiter,
+            report=self.fleet_client.report_to_all,
+        )
         self.draining = False
         self.handler: request_handler.RequestHandler | None = None
         self._dialect = request_dialect
@@ -127,6 +135,7 @@
             wait_queue=self.wait_queue,
             retry_budget=self.retry_budget,
             rate_limiter=self.rate_limiter,
+            notices=self.notices,
             quarantine=self.quarantine,
             crash_reporter=self._crash_reporter,
             still_authorized=lambda admitted: self.admission.still_authorized(
@@ -301,6 +310,9 @@
     def _dispatch_waiting_at(self, at: float) -> None:
         asyncio.get_running_loop().call_at(at, self._dispatch_waiting)
 
+    def _current_departures(self) -> list[fleet.Registration]:
+        return self.targets.departures(asyncio.get_running_loop().time())
+
     def _current_demand(self) -> fleet.FleetDemand:
         now = asyncio.get_running_loop().time()
         return fleet.FleetDemand(
--- a/src/monsoonhinge/ingress/rate_limiter.py
+++ b/src/monsoonhinge/ingress/rate_limiter.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from monsoonhinge.ingress import metrics
+from monsoonhinge.ingress import rate_limit_state
 from monsoonhinge.ingress import target_table
 from monsoonhinge.protocol import fleet
 from monsoonhinge.runtime import errors
@@ -113,7 +114,7 @@
             return False
 
     async def _wait_s(
-        self, target: target_table.Target, limit: target_table.RateLimit
+        self, target: target_table.Target, limit: rate_limit_state.RateLimit
     ) -> float:
         loop = asyncio.get_running_loop()
         try:
@@ -126,10 +127,10 @@
         return wait_s
 
     def _fallback_wait_s(
-        self, limit: target_table.RateLimit, now: float
+        self, limit: rate_limit_state.RateLimit, now: float
     ) -> float:
         if limit.fallback is None:
-            limit.fallback = target_table.FallbackBucket(updated_at=now)
+            limit.fallback = rate_limit_state.FallbackBucket(updated_at=now)
         requests_per_s = limit.requests_per_s / max(1, self.gateway_count)
         if limit.fallback.take(requests_per_s, now):
             return 0.0
@@ -139,7 +140,7 @@
         self, target: target_table.Target, requests_per_s: float, now: float
     ) -> None:
         if target.rate_limit is None:
-            target.rate_limit = target_table.RateLimit(
+            target.rate_limit = rate_limit_state.RateLimit(
                 requests_per_s=requests_per_s, known_at=now
             )
         target.rate_limit.requests_per_s = requests_per_s
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -353,10 +353,12 @@
     ) -> None:
         """Records what the head of a response tells about its target."""
         now = self._loop.time()
-        rate_limit = self._context.dialect.rate_limit(response.headers)
         if execution in _TARGET_RESPONDED:
-            self._context.rate_limiter.record_response(
-                target, rate_limit, sent_at=sent_at, now=now
+            self._context.notices.record(
+                target,
+                headers=response.headers,
+                sent_at=sent_at,
+                now=now,
             )
         request_events.attempt(
             parsed=self.parsed,
@@ -366,6 +368,6 @@
             waited_s=sent_at - self.limits.arrived_at,
             head_s=now - sent_at,
             status=response.status,
-            rate_limit=rate_limit,
+            rate_limit=self._context.dialect.rate_limit(response.headers),
             outcome=execution.value,
         )
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -4,10 +4,9 @@
 its own requests.
 """
 
-import asyncio
 import dataclasses
-import math
 
+from monsoonhinge.ingress import rate_limit_state
 from monsoonhinge.protocol import fleet
 
 READY = "ready"
@@ -30,6 +29,10 @@
 # longer before they publish a target again, so that a gateway accepts it.
 _REREGISTRATION_DELAY_S = 5.0
 
+# Departed targets are remembered while delayed announcements of them may still
+# arrive.
+_DEPARTURE_RETENTION_S = 60.0
+
 # Weight of the latest response in the moving average of a target's latency.
 _LATENCY_WEIGHT = 0.2
 
@@ -38,47 +41,18 @@
 
 
 @dataclasses.dataclass(slots=True)
-class FallbackBucket:
-    """Token bucket of one gateway for its part of a rate limit.
-
-    It starts empty, so that gateways do not all send at once when the lease
-    holder is lost.
-    """
-
-    updated_at: float
-    level: float = 0.0
-
-    def take(self, requests_per_s: float, now: float) -> bool:
-        """Takes a permit; returns whether there was one."""
-        elapsed_s = now - self.updated_at
-        self.level = min(1.0, self.level + elapsed_s * requests_per_s)
-        self.updated_at = now
-        if self.level < 1.0:
-            return False
-        self.level -= 1.0
-        return True
-
-
-@dataclasses.dataclass(slots=True)
-class RateLimit:
-    """Rate limit that a target named.
+class _Departure:
+    """A target that has deregistered.
 
     Attributes:
-        requests_per_s: Requests per second from all gateways together.
-        known_at: When this gateway learned that there is a limit.
-        reported_at: When this gateway last reported it.
-        closed_until: When this gateway may next ask for a permit.
-        fallback: Permits of this gateway while no lease holder replies, or
-            None while one does.
-        lock: Held while this gateway asks for a permit.
+        registration: Its last registration, with the state ``gone``.
+        version: Latest announcement that the deregistration covers.
+        departed_at: When this gateway learned of it.
     """
 
-    requests_per_s: float
-    known_at: float
-    reported_at: float = -math.inf
-    closed_until: float = 0.0
-    fallback: FallbackBucket | None = None
-    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    registration: fleet.Registration
+    version: _AnnouncementVersion
+    departed_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,7 +89,7 @@
         default_factory=dict
     )
     unreachable_until: float = 0.0
-    rate_limit: RateLimit | None = None
+    rate_limit: rate_limit_state.RateLimit | None = None
 
     @property
     def name(self) -> str:
@@ -171,7 +145,7 @@
         self.by_name: dict[str, Target] = {}
         self.fencing = 0
         self._latest_versions: dict[str, _AnnouncementVersion] = {}
-        self._deregistered: dict[str, tuple[_AnnouncementVersion, float]] = {}
+        self._departures: dict[str, _Departure] = {}
         self._undone_deregistrations: dict[str, _AnnouncementVersion] = {}
         self._placements: dict[str, fleet.Placement] = {}
 
@@ -181,7 +155,7 @@
         version = (registration.incarnation, registration.sequence)
         latest = self._latest_versions.get(name)
         if registration.state == GONE:
-            return self._apply_deregistration(name, version, now)
+            return self._apply_deregistration(registration, now)
         if latest is not None and version < latest:
             return False
         if not self._accepts_reregistration(name, version, now):
@@ -194,6 +168,8 @@
         ):
             if target.registration.state == SILENT:
                 target.unreachable_until = 0.0
+            if target.registration.leaving:
+                registration = dataclasses.replace(registration, leaving=True)
             target.registration = registration
         else:
             self._remove_predecessors(registration)
@@ -210,6 +186,32 @@
             self._update_models(target, placement, None)
         return True
 
+    def record_leaving(self, target: Target) -> bool:
+        """Records that a target says that it leaves; returns whether new.
+
+        It gets no new requests for the rest of its incarnation.
+        """
+        if target.registration.leaving:
+            return False
+        target.registration = dataclasses.replace(
+            target.registration, leaving=True
+        )
+        return True
+
+    def departures(self, now: float) -> list[fleet.Registration]:
+        """Returns the targets that are leaving, or have left recently.
+
+        A control member that was restarted may not know them.
+        """
+        self._expire_departures(now)
+        leaving = [
+            target.registration
+            for target in self.by_name.values()
+            if target.registration.leaving
+        ]
+        departed = [item.registration for item in self._departures.values()]
+        return leaving + departed
+
     def incarnation_and_state(self, name: str) -> tuple[int, str]:
         """Returns incarnation and state of a target; (0, "") if unknown."""
         target = self.by_name.get(name)
@@ -249,6 +251,7 @@
             for target in self.by_name.values()
             if target.registration.service == service
             and target.registration.state in (READY, SILENT)
+            and not target.registration.leaving
         ]
 
     def earliest_ready_at(
@@ -268,7 +271,7 @@
         return min(times, default=None)
 
     def _apply_deregistration(
-        self, name: str, version: _AnnouncementVersion, now: float
+        self, registration: fleet.Registration, now: float
     ) -> bool:
         """Applies a deregistration; returns whether it changed anything.
 
@@ -277,32 +280,49 @@
         announcements, so that it is applied whatever its number is, unless
         the target registered again after this same deregistration.
         """
+        name = registration.target
+        version = (registration.incarnation, registration.sequence)
         latest = self._latest_versions.get(name, version)
         if version[0] < latest[0]:
             return False
         if version <= self._undone_deregistrations.get(name, (-1, -1)):
             return False
-        if name in self._deregistered and version[0] == latest[0]:
+        if name in self._departures and version[0] == latest[0]:
             return False
-        self._latest_versions[name] = max(latest, version)
-        self._deregistered[name] = (self._latest_versions[name], now)
+        self._expire_departures(now)
+        latest = max(latest, version)
+        self._latest_versions[name] = latest
+        self._departures[name] = _Departure(
+            registration=dataclasses.replace(registration, sequence=latest[1]),
+            version=latest,
+            departed_at=now,
+        )
         self.by_name.pop(name, None)
         return True
 
+    def _expire_departures(self, now: float) -> None:
+        """Forgets targets that left so long ago that nothing names them."""
+        for name, departure in list(self._departures.items()):
+            if now - departure.departed_at > _DEPARTURE_RETENTION_S:
+                del self._departures[name]
+                self._latest_versions.pop(name, None)
+                self._undone_deregistrations.pop(name, None)
+                self._placements.pop(name, None)
+
     def _accepts_reregistration(
         self, name: str, version: _AnnouncementVersion, now: float
     ) -> bool:
         """Returns whether an announcement may undo a deregistration."""
-        if name not in self._deregistered:
+        departure = self._departures.get(name)
+        if departure is None:
             return True
-        deregistered_version, deregistered_at = self._deregistered[name]
-        if version[0] == deregistered_version[0] and (
-            version <= deregistered_version
-            or now - deregistered_at < _REREGISTRATION_DELAY_S
+        if version[0] == departure.version[0] and (
+            version <= departure.version
+            or now - departure.departed_at < _REREGISTRATION_DELAY_S
         ):
             return False
-        del self._deregistered[name]
-        self._undone_deregistrations[name] = deregistered_version
+        del self._departures[name]
+        self._undone_deregistrations[name] = departure.version
         return True
 
     def _update_models(
--- a/src/monsoonhinge/platform/engines.py
+++ b/src/monsoonhinge/platform/engines.py
@@ -1,5 +1,6 @@
 """HTTP client that sends orders to servers and fetches their reports."""
 
+from collections.abc import Callable
 import json
 from typing import Any
 
@@ -44,9 +45,15 @@
 
 
 class PlatformEngineClient:
-    """HTTP client of the servers; see ``engine_client.EngineClient``."""
+    """HTTP client of the servers; see ``engine_client.EngineClient``.
+
+    Attributes:
+        on_leaving: Called with the id of a server whose response says that it
+            is leaving.
+    """
 
     def __init__(self) -> None:
+        self.on_leaving: Callable[[str], None] = lambda target: None
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=_KEEPALIVE_S
@@ -141,6 +148,11 @@
                 body_bytes = await bounded_http.read_body(
                     response, max_bytes=_MAX_RESPONSE_BYTES
                 )
+                # With 421, another server responds at the address.
+                if response.status != 421 and wire.says_leaving(
+                    response.headers
+                ):
+                    self.on_leaving(target)
                 return response.status, body_bytes
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise engine_client.NoResponseError(
--- a/src/monsoonhinge/platform/requests.py
+++ b/src/monsoonhinge/platform/requests.py
@@ -95,6 +95,10 @@
             return None
         return float(text)
 
+    def is_leaving(self, headers: Mapping[str, str]) -> bool:
+        """Returns whether the server says that it is leaving."""
+        return wire.says_leaving(headers)
+
     def response_headers(
         self, headers: Mapping[str, str]
     ) -> multidict.CIMultiDict[str]:
--- a/src/monsoonhinge/platform/wire.py
+++ b/src/monsoonhinge/platform/wire.py
@@ -1,5 +1,7 @@
 """Headers, paths and variables defined by the platform."""
 
+from collections.abc import Mapping
+
 # Headers of callers' requests and of targets' responses.
 REQUEST_ID = "X-Request-Id"
 MODEL = "X-Model"
@@ -13,6 +15,8 @@
 INSTANCE = "X-Instance-Id"
 # Requests per second that the server takes from all machines together.
 SERVER_LIMIT = "Server-Limit"
+# 1 if the server is about to leave and wants no further requests.
+SERVER_LEAVING = "Server-Leaving"
 
 # Headers of requests to targets that only this system may set.
 TENANT = "X-Tenant"
@@ -66,3 +70,8 @@
 ADAPTER_SEPARATOR = "/"
 
 SETTINGS_VARIABLE = "MONSOONHINGE_SETTINGS"
+
+
+def says_leaving(headers: Mapping[str, str]) -> bool:
+    """Returns whether the server of a response says that it is leaving."""
+    return headers.get(SERVER_LEAVING, "").strip() == "1"
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -36,6 +36,8 @@
         models: Models in its accelerator memory.
         in_memory: Models cached in its host memory.
         on_disk: Models cached on its disk.
+        leaving: Whether it said in a response that it is leaving, whatever
+            state it announced. It stays true for the rest of the incarnation.
     """
 
     target: str = ""
@@ -51,6 +53,7 @@
     models: list[HeldModel] = dataclasses.field(default_factory=list)
     in_memory: list[str] = dataclasses.field(default_factory=list)
     on_disk: list[str] = dataclasses.field(default_factory=list)
+    leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +71,9 @@
 class Registrations:
     """New and changed registrations.
 
+    Gateways send those of targets that leave or have left, which they may know
+    better than a member that has just started.
+
     Attributes:
         registrations: The registrations.
         subscribers: Number of gateways connected to the sender.
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -350,6 +350,7 @@
   models @10 :List(HeldModel);
   inMemory @11 :List(Text);
   onDisk @12 :List(Text);
+  leaving @13 :Bool;
 }
 
 struct WatchRegistry {
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -244,9 +244,9 @@
         self.suspended_s = 0.0
         monkeypatch.setattr(
             "time.clock_gettime",
-            lambda clock_id: self.suspended_s
-            if clock_id == time.CLOCK_BOOTTIME
-            else 0.0,
+            lambda clock_id: (
+                self.suspended_s if clock_id == time.CLOCK_BOOTTIME else 0.0
+            ),
         )
 
 
@@ -263,9 +263,7 @@
     async def scenario(
         cluster: stub.Cluster, client: control_client.Client
     ) -> None:
-        lease = lease_client.LeaseClient(
-            name="l", holder="n/1", control=client
-        )
+        lease = lease_client.LeaseClient(name="l", holder="n/1", control=client)
         await lease.acquire_or_renew()
         now = asyncio.get_running_loop().time
         assert lease.held(now())
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -137,3 +137,53 @@
     targets.record_announcement(world.registration(state="draining"), 0.0)
     (changed,) = targets.expire(_SILENT_S + 0.1)
     assert changed.state == registry.GONE
+
+
+def test_leaving_target_gets_no_models() -> None:
+    """Guards against loading models on a target that is about to go."""
+    targets = _registry()
+    targets.record_announcement(world.registration(sequence=1), 0.0)
+    (changed,) = targets.record_leaving("t1", 1.0)
+    assert changed.leaving
+    assert not targets.ready_registrations()
+    targets.record_announcement(world.registration(sequence=2), 2.0)
+    assert not targets.ready_registrations()
+    assert targets.record_leaving("t1", 3.0) == []
+
+
+def test_outdated_registration_still_tells_that_its_target_is_leaving() -> None:
+    """Guards against evidence that is dropped with an older announcement."""
+    targets = _registry()
+    targets.record_announcement(world.registration(sequence=5), 0.0)
+    leaving = world.registration(sequence=3)
+    leaving.leaving = True
+    (changed,) = targets.merge(leaving, 1.0)
+    assert (changed.leaving, changed.sequence) == (True, 5)
+    # The member to which the target announces itself still checks it, and a
+    # target that was leaving has left once it is silent.
+    (changed,) = targets.expire(_SILENT_S + 0.1)
+    assert changed.state == registry.GONE
+
+
+def test_new_incarnation_of_a_leaving_target_is_ready() -> None:
+    """Guards against blaming a target for what its predecessor said."""
+    targets = _registry()
+    targets.record_announcement(world.registration(incarnation=1), 0.0)
+    targets.record_leaving("t1", 1.0)
+    targets.record_announcement(world.registration(incarnation=2), 2.0)
+    assert targets.ready_registrations()
+    late = world.registration(incarnation=1)
+    late.leaving = True
+    assert targets.merge(late, 3.0) == []
+    assert targets.ready_registrations()
+
+
+def test_silent_target_is_gone_before_it_is_forgotten() -> None:
+    """Guards against gateways that keep targets which no member knows."""
+    targets = _registry()
+    targets.record_announcement(world.registration(sequence=1), 0.0)
+    targets.expire(4.0)
+    (changed,) = targets.expire(100.0)
+    assert changed.state == registry.GONE
+    assert targets.expire(200.0) == []
+    assert not targets.entries
