Leave targets alone for the pause that they ask for with Retry-After

Cause: a 503 of an engine was remembered as a missing model for 80 ms, and Retry-After was not read, so that a target in need was asked again twelve times a second for each model.

During the pause the target gets nothing from that gateway and its model does not count as missing; waiting work goes to another target. A request for which every target with its model pauses beyond the time that it can wait is refused at once, with the end of the pause as Retry-After.

Not done: the product's own gateway/ path retries at another target but reads no Retry-After.

--- a/src/monsoonhinge/ingress/load_balancer.py
+++ b/src/monsoonhinge/ingress/load_balancer.py
@@ -87,7 +87,7 @@
         available = [
             target
             for target in self.targets.available_targets(requirements.service)
-            if target.accepts_requests(now)
+            if now >= target.accepts_requests_at
         ]
         if not requirements.model:
             return available
@@ -97,6 +97,21 @@
             if target.serves(requirements.model, requirements.adapter, now)
         ]
 
+    def opens_at(self, requirements: Requirements) -> float | None:
+        """Returns when the first target that holds the model takes requests.
+
+        Returns:
+            Time of the event loop, which may have passed; None if no target
+            holds the model.
+        """
+        times = [
+            target.accepts_requests_at
+            for target in self.targets.available_targets(requirements.service)
+            if not requirements.model
+            or target.holds(requirements.model, requirements.adapter)
+        ]
+        return min(times, default=None)
+
     def _cost(
         self,
         target: target_table.Target,
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -19,6 +19,7 @@
 from monsoonhinge.ingress import prompt_quarantine
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import rate_limiter
+from monsoonhinge.ingress import readiness
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import request_handler
 from monsoonhinge.ingress import retry_budget
@@ -111,6 +112,7 @@
             targets=self.targets,
             limiter=self.rate_limiter,
             report=self.fleet_client.report_to_all,
+            on_pause=self._target_paused,
         )
         self.draining = False
         self.handler: request_handler.RequestHandler | None = None
@@ -297,6 +299,19 @@
                 lambda queued: self.quarantine.refusal(queued.shared_parts, now)
             )
 
+    def _target_paused(self, until: float) -> None:
+        """Refuses what cannot wait for a target that asked for a pause."""
+        now = asyncio.get_running_loop().time()
+        self.wait_queue.fail_each(
+            lambda queued: readiness.hopeless_wait(
+                queued.requirements,
+                balancer=self.balancer,
+                queue_deadline=queued.queue_deadline,
+                now=now,
+            )
+        )
+        self._dispatch_waiting_at(until)
+
     def _refuse_waiting(self) -> None:
         self.wait_queue.fail_all(
             refusal.Refusal(
--- a/src/monsoonhinge/ingress/readiness.py
+++ b/src/monsoonhinge/ingress/readiness.py
@@ -53,6 +53,41 @@
     return found[0].load_s
 
 
+def hopeless_wait(
+    requirements: load_balancer.Requirements,
+    *,
+    balancer: load_balancer.LoadBalancer,
+    queue_deadline: float,
+    now: float,
+) -> refusal.Refusal | None:
+    """Returns the refusal of a request that cannot be served in time.
+
+    Load pattern: all targets with the model have asked for a pause, or have no
+    permit left, beyond the time that the request can wait. The model is not
+    loaded elsewhere, since it is loaded there.
+
+    Args:
+        requirements: Requirements of the request.
+        balancer: Chooses targets.
+        queue_deadline: When the request stops waiting, in event loop seconds.
+        now: Current time of the event loop.
+    """
+    opens_at = balancer.opens_at(requirements)
+    if opens_at is None or opens_at < queue_deadline:
+        return None
+    if requirements.model:
+        ready_at = balancer.targets.earliest_ready_at(
+            service=requirements.service,
+            model=requirements.model,
+            adapter=requirements.adapter,
+        )
+        if ready_at is not None and ready_at < queue_deadline:
+            return None
+    return refusal.Refusal(
+        refusal.Reason.TARGETS_FULL, retry_after_s=opens_at - now, step="wait"
+    )
+
+
 def wait_refusal(
     requirements: load_balancer.Requirements,
     *,
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -290,9 +290,10 @@
                 self._requirements.service, now
             )
         ):
+            opens_at = self._context.balancer.opens_at(self._requirements)
             raise refusal.Refusal(
                 refusal.Reason.TARGETS_FULL,
-                retry_after_s=_RETRY_AFTER_S,
+                retry_after_s=max(_RETRY_AFTER_S, (opens_at or now) - now),
                 step="forward",
                 peer=peer,
             )
@@ -301,7 +302,10 @@
         self, target: target_table.Target, execution: dialect.ExecutionStatus
     ) -> None:
         now = self._loop.time()
-        if self._requirements.model:
+        if now < target.retry_at:
+            # It asked for a pause, whatever model a request needs.
+            self._avoided_targets.add(target.name)
+        elif self._requirements.model:
             target.mark_model_missing(
                 self._requirements.model, self._requirements.adapter, now
             )
@@ -356,6 +360,7 @@
         if execution in _TARGET_RESPONDED:
             self._context.notices.record(
                 target,
+                status=response.status,
                 headers=response.headers,
                 sent_at=sent_at,
                 now=now,
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -76,8 +76,17 @@
         )
 
     async def _wait_for_target(self) -> target_table.Target:
-        if self._loop.time() >= self._limits.queue_deadline:
+        now = self._loop.time()
+        if now >= self._limits.queue_deadline:
             raise self.refusal()
+        hopeless = readiness.hopeless_wait(
+            self._requirements,
+            balancer=self._context.balancer,
+            queue_deadline=self._limits.queue_deadline,
+            now=now,
+        )
+        if hopeless is not None:
+            raise hopeless
         queued = wait_queue.QueuedRequest(
             requirements=self._requirements,
             priority=self._admitted.priority,
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -75,6 +75,7 @@
         unreachable_until: Time until which the target is assumed to be down,
             after a connection to it failed.
         rate_limit: Rate limit that it named, or None.
+        retry_at: Time before which it asked to get no requests.
     """
 
     registration: fleet.Registration
@@ -90,6 +91,7 @@
     )
     unreachable_until: float = 0.0
     rate_limit: rate_limit_state.RateLimit | None = None
+    retry_at: float = 0.0
 
     @property
     def name(self) -> str:
@@ -119,16 +121,21 @@
             _SILENT_RECONNECT_DELAY_S if silent else _RECONNECT_DELAY_S
         )
 
-    def accepts_requests(self, now: float) -> bool:
-        """Returns whether its rate limit permits a request soon."""
-        return self.rate_limit is None or now >= self.rate_limit.closed_until
+    @property
+    def accepts_requests_at(self) -> float:
+        """Time from which it, and its rate limit, permit a request."""
+        if self.rate_limit is None:
+            return self.retry_at
+        return max(self.retry_at, self.rate_limit.closed_until)
+
+    def holds(self, model: str, adapter: str) -> bool:
+        """Returns whether a model and adapter are loaded."""
+        adapters = self.models.get(model)
+        return adapters is not None and (not adapter or adapter in adapters)
 
     def serves(self, model: str, adapter: str, now: float) -> bool:
         """Returns whether the target can serve a model and adapter now."""
-        adapters = self.models.get(model)
-        if adapters is None or (adapter and adapter not in adapters):
-            return False
-        if now < self.unreachable_until:
+        if not self.holds(model, adapter) or now < self.unreachable_until:
             return False
         return now >= self.missing_until.get((model, adapter), 0.0)
 
--- /dev/null
+++ b/tests/ingress/test_retry_after.py
@@ -0,0 +1,112 @@
+"""Tests of the pauses that targets ask for."""
+
+import pytest
+
+from monsoonhinge.ingress import load_balancer
+from monsoonhinge.ingress import readiness
+from monsoonhinge.ingress import refusal
+from monsoonhinge.ingress import target_table
+from monsoonhinge.protocol import fleet
+from monsoonhinge.targets import retry_after
+
+_REQUIREMENTS = load_balancer.Requirements("s", "m1")
+_DATE = "Sat, 05 Dec 2026 10:00:00 GMT"
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, "2", 2.0),
+        (503, "0.25", 0.25),
+        (429, " 3 ", 3.0),
+        (503, "Sat, 05 Dec 2026 10:00:07 GMT", 7.0),
+        (503, "Sat, 05 Dec 2026 09:59:00 GMT", 0.0),
+        (503, "-5", 0.0),
+        (503, "31536000", retry_after.MAX_PAUSE_S),
+        (503, "1e9", 0.0),
+        (503, "9" * 40, 0.0),
+        (503, "Sat, 05 Dec 2126 10:00:00 GMT", retry_after.MAX_PAUSE_S),
+        (503, "soon", 0.0),
+        (503, "", 0.0),
+        (200, "2", 0.0),
+        (421, "2", 0.0),
+    ],
+)
+def test_pause_is_read_and_bounded(
+    status: int, value: str, pause_s: float
+) -> None:
+    """Guards against a target that is not used for a year, or hammered."""
+    headers = {"Retry-After": value, "Date": _DATE}
+    assert retry_after.requested_pause_s(status, headers) == pause_s
+
+
+def test_status_without_retry_after_asks_for_no_pause() -> None:
+    """Guards against a pause after every full target."""
+    assert retry_after.requested_pause_s(503, {}) == 0.0
+
+
+def _balancer(*pauses_s: float) -> load_balancer.LoadBalancer:
+    """Returns a balancer whose targets with the model ask for pauses."""
+    table = target_table.TargetTable()
+    for number, pause_s in enumerate(pauses_s):
+        registration = fleet.Registration(
+            target=f"i-{number}",
+            incarnation=1,
+            service="s",
+            address=f"127.0.0.1:{number + 1}",
+            state="ready",
+            models=[fleet.HeldModel(name="m1")],
+        )
+        table.register(registration, 0.0)
+        table.by_name[registration.target].retry_at = pause_s
+    return load_balancer.LoadBalancer(targets=table, availability_zone="a")
+
+
+def test_target_is_not_chosen_during_its_pause() -> None:
+    """Guards against requests to a target that asked for none."""
+    balancer = _balancer(5.0, 0.0)
+    assert [t.name for t in balancer.eligible(_REQUIREMENTS, 1.0)] == ["i-1"]
+    assert len(balancer.eligible(_REQUIREMENTS, 5.0)) == 2
+
+
+def _wait_refusal(
+    balancer: load_balancer.LoadBalancer, queue_deadline: float
+) -> refusal.Refusal | None:
+    return readiness.hopeless_wait(
+        _REQUIREMENTS,
+        balancer=balancer,
+        queue_deadline=queue_deadline,
+        now=1.0,
+    )
+
+
+def test_request_beyond_all_pauses_is_refused_at_once() -> None:
+    """Guards against a request that waits to its end for nothing."""
+    refused = _wait_refusal(_balancer(9.0, 6.0), 4.0)
+    assert refused is not None
+    assert (refused.status, refused.retry_after_s) == (503, 5.0)
+
+
+def test_request_waits_for_the_end_of_a_pause() -> None:
+    """Guards against refusing what can be served in time."""
+    assert _wait_refusal(_balancer(9.0, 3.0), 4.0) is None
+
+
+def test_request_waits_for_a_load_during_a_pause() -> None:
+    """Guards against refusing a request whose model is being loaded."""
+    balancer = _balancer(9.0)
+    loading = fleet.Registration(
+        target="i-9",
+        incarnation=1,
+        service="s",
+        address="127.0.0.1:99",
+        state="ready",
+    )
+    balancer.targets.register(loading, 0.0)
+    balancer.targets.by_name["i-9"].ready_at["m1"] = 2.0
+    assert _wait_refusal(balancer, 4.0) is None
+
+
+def test_model_that_no_target_holds_is_waited_for() -> None:
+    """Guards against refusing requests for models that are not loaded."""
+    assert _wait_refusal(_balancer(), 4.0) is None
