--- a/src/monsoonhinge/gateway/relay.py
+++ b/src/monsoonhinge/gateway/relay.py
@@ -11,10 +11,12 @@
 from monsoonhinge.gateway import callers
 from monsoonhinge.gateway import forward
 from monsoonhinge.gateway import refusal
+from monsoonhinge.targets import event_stream
 
 # Engines report the usage at the end of the body, after the choices.
 _TAIL_BYTES = 4096
 _EVENT_STREAM = "text/event-stream"
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _USAGE = re.compile(rb'"usage"\s*:\s*\{')
 _TOKEN_COUNT = re.compile(rb'"(prompt|completion)_tokens"\s*:\s*(\d{1,12})')
 
@@ -89,6 +91,15 @@
                 if len(chunk) >= _TAIL_BYTES
                 else (self.tail + chunk)[-_TAIL_BYTES:]
             )
+        if (
+            response.content_type == _EVENT_STREAM
+            and event_stream.is_inside_event(self.tail)
+        ):
+            raise forward.AnswerLost(
+                "the stream ends inside an event",
+                step="read",
+                peer=self._attempt.response.peer,
+            )
         await response.write_eof()
         self.complete = True
 
@@ -105,7 +116,7 @@
             return
         document = reason.document(callers.request_id(self._request))
         event = b"event: error\ndata: %b\n\n" % json.dumps(document).encode()
-        if not self.tail.endswith(b"\n\n"):
+        if not self.tail.endswith(_EVENT_ENDS):
             event = b"\n\n" + event
         # The last chunk is omitted, so that the caller detects a truncated
         # response. The transport flushes its buffer before it closes; it is
--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -6,8 +6,8 @@
 
 from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import dialect
-from monsoonhinge.ingress import event_stream
 from monsoonhinge.ingress import target_client
+from monsoonhinge.targets import event_stream
 
 
 class Relay:
@@ -110,7 +110,7 @@
                 ) from error
             if chunk is None:
                 break
-        if splitter.remainder:
+        if event_stream.is_inside_event(splitter.remainder):
             raise forward.AnswerLost(
                 "the stream ends inside an event",
                 step="read",
--- a/src/monsoonhinge/ingress/event_stream.py
+++ b/src/monsoonhinge/targets/event_stream.py
@@ -53,6 +53,18 @@
         return events
 
 
+def is_inside_event(end: bytes) -> bool:
+    """Returns whether a stream with this end lacks a part of its last event.
+
+    Args:
+        end: Last bytes of the stream. Comments after its last event are whole
+            without an empty line.
+    """
+    while (event_end := _event_end(end)) > 0:
+        end = end[event_end:]
+    return any(not line.startswith(b":") for line in end.splitlines())
+
+
 def _event_end(buffer: bytes) -> int:
     """Returns the end position of the first event, or 0 if incomplete."""
     ends = [
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -13,7 +13,6 @@
 from monsoonhinge.config import view as config_view
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import dialect
-from monsoonhinge.ingress import event_stream
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import readiness
@@ -25,6 +24,7 @@
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.targets import event_stream
 
 _SECRET = b"a key secret for tests"
 
--- a/tests/ingress/test_relay.py
+++ b/tests/ingress/test_relay.py
@@ -8,10 +8,10 @@
 import pytest
 
 from monsoonhinge.gateway import forward
-from monsoonhinge.ingress import event_stream
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import target_client
 from monsoonhinge.platform import requests
+from monsoonhinge.targets import event_stream
 
 
 class _EndlessEvent:
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -8,9 +8,9 @@
 
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.gateway import forward
-from monsoonhinge.ingress import event_stream
 from monsoonhinge.ingress import target_client
 from monsoonhinge.platform import engines
+from monsoonhinge.targets import event_stream
 
 _OK = b"HTTP/1.1 200 OK\r\n"
 _CHUNK = b"10000\r\n" + bytes(0x10000) + b"\r\n"
