Keep late copies of answers from the requests that use the connection next

Answers to orders and reports name no request: a late copy of an answer to a report was taken for the answer to an order. Answers to requests name theirs, so that a caller got no answer of another one, but lost its own.

Change: connections with unrequested bytes are not reused; on a reused connection, answers that name another request are skipped; orders and reports each have a connection of their own, as those of the product have.

--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -9,6 +9,7 @@
 
 from monsoonhinge.runtime import errors
 from monsoonhinge.targets import bounded_http
+from monsoonhinge.targets import connections
 
 _CHUNK_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 1.0
@@ -93,7 +94,9 @@
         keepalive_s: Seconds for which an idle connection is kept for reuse.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_s),
+        connector=connections.CleanConnector(
+            limit=0, keepalive_timeout=keepalive_s
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         response_class=bounded_http.BoundedResponse,
         auto_decompress=False,
--- a/src/monsoonhinge/platform/engines.py
+++ b/src/monsoonhinge/platform/engines.py
@@ -13,8 +13,6 @@
 from monsoonhinge.platform import wire
 from monsoonhinge.targets import bounded_http
 
-_KEEPALIVE_S = 4.0
-
 _MAX_RESPONSE_BYTES = 1024 * 1024
 
 _RESPONSE_BY_STATUS = {
@@ -54,10 +52,10 @@
 
     def __init__(self) -> None:
         self.on_leaving: Callable[[str], None] = lambda target: None
+        # Responses to orders and reports name no request. Connections are not
+        # reused, so that no late copy of one is taken for another.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=_KEEPALIVE_S
-            ),
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
             response_class=bounded_http.BoundedResponse,
         )
--- a/src/monsoonhinge/targets/bounded_http.py
+++ b/src/monsoonhinge/targets/bounded_http.py
@@ -6,9 +6,13 @@
 
 The body of a response without a length and without chunks ends with its
 connection. aiohttp does not tell whether that was closed or reset.
+
+A target may send a late copy of an earlier response on a connection that is in
+use again. Responses name their request, so that such a copy is recognized.
 """
 
 import asyncio
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
@@ -16,6 +20,11 @@
 # Responses with status 1xx that may precede a final response.
 _MAX_INTERIM_RESPONSES = 16
 
+_REQUEST_ID = "X-Request-Id"
+
+# Attribute of a connection that has carried a response before.
+_REUSED = "monsoonhinge_reused"
+
 
 class ResetResponse(aiohttp.ClientPayloadError):
     """The connection was reset before a body that ends with it was whole."""
@@ -26,7 +35,7 @@
 
 
 class BoundedResponse(aiohttp.ClientResponse):
-    """A response with a limited number of interim responses before it.
+    """A response with a limited number of other responses before it.
 
     Its connection can be closed even after the response was read: a short
     response is complete before its headers are checked, and aiohttp has
@@ -52,15 +61,21 @@
         self.transport = connection.transport
         protocol: Any = connection.protocol
         self._watch_connection(protocol)
+        reused = getattr(protocol, _REUSED, False)
+        setattr(protocol, _REUSED, True)
         read = protocol.read
         left = _MAX_INTERIM_RESPONSES + 1
 
         async def read_limited() -> Any:
             nonlocal left
-            if not left:
-                raise EndlessResponse("too many interim responses")
-            left -= 1
-            return await read()
+            while left:
+                left -= 1
+                message, body = await read()
+                if not (reused and self._answers_another(message.headers)):
+                    return message, body
+                while not body.at_eof():
+                    await body.readany()
+            raise EndlessResponse("too many responses before the final one")
 
         # aiohttp reads all interim responses in one call, without a hook
         # between them.
@@ -89,6 +104,12 @@
         if not self.is_delimited and self.connection_error is not None:
             raise ResetResponse(f"reset: {self.connection_error!r}")
 
+    def _answers_another(self, headers: Mapping[str, str]) -> bool:
+        """Returns whether a response names another request than this one."""
+        answered = headers.get(_REQUEST_ID)
+        sent = self.request_info.headers.get(_REQUEST_ID)
+        return None not in (answered, sent) and answered != sent
+
     def _watch_connection(self, protocol: Any) -> None:
         """Notes the error with which the connection is lost.
 
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -120,6 +120,53 @@
         assert connections[0] not in connections[1:]
 
 
+class _RepeatingTarget:
+    """Sends a second copy of its first answer late on the same connection.
+
+    Attributes:
+        during_request: Whether the copy is sent while the next request waits
+            for its answer, or before that request.
+    """
+
+    def __init__(self, *, during_request: bool) -> None:
+        self.during_request = during_request
+        self._first = b""
+
+    async def respond(
+        self, request: standins.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        answer = standins.response_bytes(request, request.path.encode())
+        if self._first and self.during_request:
+            writer.write(self._first)
+            await asyncio.sleep(0.05)
+        writer.write(answer)
+        if not self._first and not self.during_request:
+            await asyncio.sleep(0.05)
+            writer.write(answer)
+        self._first = answer
+
+
+@pytest.mark.parametrize("during_request", [True, False])
+async def test_late_copy_of_an_answer_is_no_answer_to_the_next_request(
+    during_request: bool,
+) -> None:
+    """Guards against an answer that its caller did not ask for.
+
+    The next request must get its own answer; its connection is sound.
+    """
+    target = _RepeatingTarget(during_request=during_request)
+    async with standins.run_gateway(target.respond) as gateway:
+        for number in range(3):
+            async with gateway.post(
+                f"/services/ledger/refunds/{number}",
+                headers={"Idempotency-Key": str(number)},
+            ) as response:
+                assert response.status == 200
+                assert await response.text() == f"/refunds/{number}"
+            await asyncio.sleep(0.1)
+        assert len(gateway.targets[0].received) == 3
+
+
 @pytest.mark.parametrize("kind", ["length", "chunks", "reset"])
 async def test_truncated_answer_is_never_whole(kind: str) -> None:
     """Guards against truncated responses relayed as complete (P8)."""
