Give up streams by their events, and only for another attempt

Change: ingress/stall has one watchdog a wait. Only whole events with data are progress; the time stops while the caller is written to; and the target is given up only once another attempt is reserved.

--- a/src/monsoonhinge/ingress/attempts.py
+++ b/src/monsoonhinge/ingress/attempts.py
@@ -1,11 +1,13 @@
 """Sends a request to one target."""
 
 import asyncio
+from collections.abc import Callable
 
 from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import gateway_context
+from monsoonhinge.ingress import stall
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_table
 from monsoonhinge.ingress import timeouts
@@ -18,7 +20,8 @@
     admitted: admission.AdmittedRequest,
     target: target_table.Target,
     left_s: float,
-    timeout_s: float,
+    timeout_s: float | None,
+    reserve_attempt: Callable[[], bool],
     last_event_id: str,
 ) -> target_client.TargetResponse:
     """Sends a request and returns once the response headers have arrived.
@@ -29,10 +32,14 @@
         admitted: Its route, service and team.
         target: Target that gets the request.
         left_s: Seconds until the deadline of the request.
-        timeout_s: Seconds until the response headers must have arrived.
+        timeout_s: Seconds after which another attempt is made if the response
+            headers have not arrived, or None if there is no other attempt.
+        reserve_attempt: Returns whether another attempt is possible then.
         last_event_id: Event after which a stream resumes, or "".
 
     Raises:
+        stall.Stalled: There was no response in time, and another attempt was
+            reserved.
         forward.NotSent: The connection could not be established.
         forward.AnswerLost: There was no response in time, or the connection
             failed after a part of the request may have been sent.
@@ -50,8 +57,15 @@
         last_event_id=last_event_id,
     )
     address = target.registration.address
+    watchdog = None
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(left_s) as limit:
+            if timeout_s is not None:
+                watchdog = stall.Watchdog(
+                    limit=limit,
+                    timeout_s=timeout_s,
+                    reserve_attempt=reserve_attempt,
+                )
             return await context.target_client.send(
                 method=parsed.method,
                 address=address,
@@ -61,9 +75,16 @@
                 timeout_s=left_s,
             )
     except TimeoutError as error:
+        if watchdog is not None and watchdog.fired:
+            raise stall.Stalled(
+                "no response in time", step="forward", peer=address
+            ) from error
         raise forward.AnswerLost(
             "no response before the timeout",
             step="forward",
             peer=address,
             timed_out=True,
         ) from error
+    finally:
+        if watchdog is not None:
+            watchdog.stop()
--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -1,15 +1,41 @@
 """Relays the responses of targets to the caller."""
 
 import asyncio
+from collections.abc import Callable
+import dataclasses
 
 from aiohttp import web
 
 from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import dialect
+from monsoonhinge.ingress import stall
 from monsoonhinge.ingress import target_client
 from monsoonhinge.targets import event_stream
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StallLimits:
+    """When a stream that makes no progress is given up.
+
+    Attributes:
+        first_event_timeout_s: Longest time until the first event.
+        event_timeout_s: Longest time between two events.
+        reserve_attempt: Returns whether another attempt is possible.
+    """
+
+    first_event_timeout_s: float
+    event_timeout_s: float
+    reserve_attempt: Callable[[], bool]
+
+    def start_watchdog(self, limit: asyncio.Timeout) -> stall.Watchdog:
+        """Returns a running watchdog that makes a timeout expire."""
+        return stall.Watchdog(
+            limit=limit,
+            timeout_s=self.first_event_timeout_s,
+            reserve_attempt=self.reserve_attempt,
+        )
+
+
 class Relay:
     """The response to a caller, made of the responses of one or more targets.
 
@@ -68,58 +94,81 @@
         target_response: target_client.TargetResponse,
         *,
         deadline: float,
-        event_timeout_s: float | None,
+        stall_limits: StallLimits | None = None,
     ) -> web.StreamResponse:
         """Relays the events of a stream as they arrive.
 
         Args:
             target_response: Response whose body is an event stream.
             deadline: When the stream must have ended, in event loop seconds.
-            event_timeout_s: Longest time without data, or None for no limit.
+            stall_limits: When the stream is given up for another attempt, or
+                None if there is none.
 
         Raises:
-            forward.AnswerLost: The stream was interrupted, stalled, ends
-                inside an event, or has an event that is too large.
+            stall.Stalled: The stream made no progress, and another attempt
+                was reserved.
+            forward.AnswerLost: The stream was interrupted, did not end before
+                the deadline, ends inside an event, or has an event that is
+                too large.
         """
         self.event_relayed_at = None
-        splitter = event_stream.EventSplitter()
-        chunks = target_response.chunks()
-        while True:
-            read_deadline = deadline
-            if event_timeout_s is not None:
-                read_deadline = min(
-                    read_deadline, self._loop.time() + event_timeout_s
+        watchdog = None
+        try:
+            async with asyncio.timeout_at(deadline) as limit:
+                if stall_limits is not None:
+                    watchdog = stall_limits.start_watchdog(limit)
+                await self._relay_events(
+                    target_response, stall_limits, watchdog
                 )
-            try:
-                async with asyncio.timeout_at(read_deadline):
-                    chunk = await anext(chunks, None)
-                    for event in splitter.feed(chunk or b""):
-                        await self._relay_event(target_response, event)
-            except TimeoutError as error:
-                raise forward.AnswerLost(
-                    "the stream stalled",
-                    step="read",
-                    peer=target_response.peer,
-                    timed_out=True,
+        except TimeoutError as error:
+            if watchdog is not None and watchdog.fired:
+                raise stall.Stalled(
+                    "the stream stalled", step="read", peer=target_response.peer
                 ) from error
-            except event_stream.Oversized as error:
-                raise forward.AnswerLost(
-                    "an event of the stream is too large",
-                    step="read",
-                    peer=target_response.peer,
-                ) from error
-            if chunk is None:
-                break
-        if event_stream.is_inside_event(splitter.remainder):
             raise forward.AnswerLost(
-                "the stream ends inside an event",
+                "the stream did not end in time",
                 step="read",
                 peer=target_response.peer,
-            )
+                timed_out=True,
+            ) from error
+        except event_stream.Oversized as error:
+            raise forward.AnswerLost(
+                "an event of the stream is too large",
+                step="read",
+                peer=target_response.peer,
+            ) from error
+        finally:
+            if watchdog is not None:
+                watchdog.stop()
         response = await self._start_response(target_response)
         await response.write_eof()
         return response
 
+    async def _relay_events(
+        self,
+        target_response: target_client.TargetResponse,
+        stall_limits: StallLimits | None,
+        watchdog: stall.Watchdog | None,
+    ) -> None:
+        """Relays all events; only whole events with data are progress."""
+        splitter = event_stream.EventSplitter()
+        async for chunk in target_response.chunks():
+            for event in splitter.feed(chunk):
+                if watchdog is not None:
+                    watchdog.pause()
+                await self._relay_event(target_response, event)
+                if watchdog is None or stall_limits is None:
+                    continue
+                watchdog.resume(progressed=event.has_data)
+                if event.has_data:
+                    watchdog.set_timeout(stall_limits.event_timeout_s)
+        if event_stream.is_inside_event(splitter.remainder):
+            raise forward.AnswerLost(
+                "the stream ends inside an event",
+                step="read",
+                peer=target_response.peer,
+            )
+
     async def _relay_event(
         self,
         target_response: target_client.TargetResponse,
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -13,6 +13,7 @@
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import request_events
+from monsoonhinge.ingress import stall
 from monsoonhinge.ingress import target_acquisition
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_table
@@ -112,7 +113,7 @@
             except forward.AnswerLost as error:
                 self._record_failure(attempt.target, "broke_off", error)
                 self._record_break(attempt.target, error)
-                if not self._take_retry():
+                if not self._retries_after(error):
                     if self.relay.response is not None:
                         raise relay.BrokenOff from error
                     raise self._answer_lost_refusal(error) from error
@@ -160,7 +161,7 @@
                 self.attempts += 1
                 self.relay.event_relayed_at = None
                 self._record_break(target, error)
-                retry = self._take_retry()
+                retry = self._retries_after(error)
                 if retry or not error.timed_out:
                     self._record_failure(target, "lost", error)
                 if not retry:
@@ -205,9 +206,9 @@
         left_s = self.limits.deadline - now
         if left_s <= 0:
             raise self._acquisition.refusal()
-        timeout_s = left_s
+        timeout_s = None
         if self._attempts_left():
-            timeout_s = min(left_s, self.limits.attempt_timeout_s)
+            timeout_s = self.limits.attempt_timeout_s
         return await attempts.send(
             context=self._context,
             parsed=self.parsed,
@@ -215,6 +216,7 @@
             target=target,
             left_s=left_s,
             timeout_s=timeout_s,
+            reserve_attempt=self._take_retry,
             last_event_id=self.relay.last_event_id,
         )
 
@@ -230,9 +232,7 @@
             relayed = await self.relay.relay_stream(
                 response,
                 deadline=self.limits.deadline,
-                event_timeout_s=self.limits.event_timeout_s
-                if self._attempts_left()
-                else None,
+                stall_limits=self._stall_limits(),
             )
         else:
             relayed = await self.relay.relay_buffered(response)
@@ -268,6 +268,19 @@
             and self.attempts < self.admitted.route.max_attempts
         )
 
+    def _stall_limits(self) -> relay.StallLimits | None:
+        if not self._attempts_left():
+            return None
+        return relay.StallLimits(
+            first_event_timeout_s=self.limits.attempt_timeout_s,
+            event_timeout_s=self.limits.event_timeout_s,
+            reserve_attempt=self._take_retry,
+        )
+
+    def _retries_after(self, error: forward.AnswerLost) -> bool:
+        """Returns whether there is another attempt after a lost response."""
+        return isinstance(error, stall.Stalled) or self._take_retry()
+
     def _take_retry(self) -> bool:
         now = self._loop.time()
         return (
--- a/src/monsoonhinge/targets/event_stream.py
+++ b/src/monsoonhinge/targets/event_stream.py
@@ -25,6 +25,11 @@
     data: bytes
     event_id: str
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it is more than comments, which only keep a connection."""
+        return _has_data(self.data)
+
 
 class EventSplitter:
     """Splits a byte stream into events and buffers incomplete ones."""
@@ -62,7 +67,11 @@
     """
     while (event_end := _event_end(end)) > 0:
         end = end[event_end:]
-    return any(not line.startswith(b":") for line in end.splitlines())
+    return _has_data(end)
+
+
+def _has_data(text: bytes) -> bool:
+    return any(line and not line.startswith(b":") for line in text.splitlines())
 
 
 def _event_end(buffer: bytes) -> int:
--- a/tests/ingress/test_relay.py
+++ b/tests/ingress/test_relay.py
@@ -38,7 +38,7 @@
             await relayed.relay_stream(
                 typing.cast(target_client.TargetResponse, _EndlessEvent()),
                 deadline=asyncio.get_running_loop().time() + 5.0,
-                event_timeout_s=None,
+                stall_limits=None,
             )
         return raised.value
 
--- a/tests/ingress/test_undelimited_answers.py
+++ b/tests/ingress/test_undelimited_answers.py
@@ -78,7 +78,7 @@
                 return await relayed.relay_stream(
                     response,
                     deadline=asyncio.get_running_loop().time() + _DEADLINE_S,
-                    event_timeout_s=None,
+                    stall_limits=None,
                 )
             except forward.AnswerLost:
                 assert request.transport is not None
