Keep control members with a full disk running, out of the quorum

Change: the write is repeated until there is room (consensus/durable_writer), after what it left behind is removed; the member hands its leadership over, sends nothing that depends on the write, is not ready ("disk full") and says so in one line and a metric. A process that cannot start for a reason that may pass is created again. A write that failed in any other way ends the member as before.

--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -7,15 +7,16 @@
 
 import asyncio
 from collections.abc import Callable
-from concurrent import futures
 import contextlib
 import logging
 import random
 import typing
 
 from monsoonhinge.consensus import compaction
+from monsoonhinge.consensus import durable_writer
 from monsoonhinge.consensus import leader as raft_leader
 from monsoonhinge.consensus import metrics
+from monsoonhinge.consensus import pending_reads
 from monsoonhinge.consensus import proposals
 from monsoonhinge.consensus import raft
 from monsoonhinge.consensus import storage as raft_storage
@@ -92,22 +93,20 @@
         self.applied_index = 0
         self.failure: errors.MonsoonhingeError | None = None
         self.stopped = asyncio.Event()
-        self._storage = storage
+        self._writer = durable_writer.DurableWriter(
+            storage=storage, on_full=self._hand_over_leadership
+        )
         self._state_machine = state_machine
         self._transport = transport
         self._timing = timing
         self._compactor = compaction.Compactor(
             state_machine, threshold_entries=snapshot_entries, rng=rng
         )
-        self._write_executor = futures.ThreadPoolExecutor(
-            max_workers=1, thread_name_prefix="storage"
-        )
         self._write_task: asyncio.Task[None] | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self._queued: list[proposals.Proposal] = []
         self._appended: dict[int, proposals.Proposal] = {}
-        self._pending_reads: dict[int, asyncio.Future[int]] = {}
-        self._next_read_id = 1
+        self._reads = pending_reads.PendingReads()
         self._transport_configuration: types.Configuration | None = None
         self._applied = asyncio.Event()
         self._not_leading = asyncio.Event()
@@ -117,6 +116,11 @@
         """Whether this member is the leader."""
         return self.raft.is_leader
 
+    @property
+    def disk_full(self) -> bool:
+        """Whether this member waits for room on its disk."""
+        return self._writer.disk_full
+
     @property
     def leader(self) -> str:
         """Name of the current leader, or "" if it is not known."""
@@ -134,10 +138,10 @@
     async def stop(self) -> None:
         """Stops the member after a write in progress has finished."""
         self._fail(errors.MonsoonhingeError("stopped"))
+        self._writer.stop()
         if self._write_task is not None:
             await asyncio.gather(self._write_task, return_exceptions=True)
         await self._compactor.stop()
-        self._write_executor.shutdown(wait=False)
 
     def bootstrap(self, configuration: types.Configuration) -> None:
         """Starts a new cluster with these members."""
@@ -215,15 +219,14 @@
             types.NotLeader: This member is not, or no longer, the leader.
         """
         leadership = self._require_leadership("read")
-        read_id = self._next_read_id
-        self._next_read_id += 1
-        future: asyncio.Future[int] = self._loop.create_future()
-        self._pending_reads[read_id] = future
+        read_id, future = self._reads.add()
         leadership.request_read(read_id, self._loop.time())
         self._process_output()
         index = await future
         while self.applied_index < index and self.failure is None:
             await self._applied.wait()
+        if self.applied_index < index:
+            raise types.NotLeader(leader="", step="read")
         return index
 
     async def transfer_leadership(self, *, timeout: float) -> None:
@@ -284,6 +287,13 @@
         metrics.COMMIT_INDEX.set(state.commit_index)
         metrics.APPLIED_INDEX.set(self.applied_index)
 
+    def _hand_over_leadership(self) -> None:
+        """Makes another voter the leader, since this one cannot write."""
+        now = self._loop.time()
+        leadership = self.raft.leadership
+        if leadership is not None and leadership.transfer_leadership(now):
+            self._process_output()
+
     def _append_queued(self) -> None:
         if not self._queued or self.raft.leadership is None:
             return
@@ -301,17 +311,15 @@
             self._appended[first_index + offset] = proposal
 
     async def _write(self, write: types.Write) -> None:
-        started = self._loop.time()
         try:
-            await self._loop.run_in_executor(
-                self._write_executor, self._storage.write, write
-            )
+            written = await self._writer.write(write)
         except errors.MonsoonhingeError as error:
             self._fail(error)
             return
         finally:
             self._write_task = None
-        metrics.WRITE_SECONDS.observe(self._loop.time() - started)
+        if not written:
+            return
         self.raft.complete_write(write, self._loop.time())
         self._process_output()
 
@@ -362,16 +370,9 @@
 
     def _resolve_reads(self) -> None:
         confirmed, failed = self.raft.take_reads()
-        for read_id, index in confirmed:
-            future = self._pending_reads.pop(read_id)
-            if not future.done():
-                future.set_result(index)
-        for read_id in failed:
-            future = self._pending_reads.pop(read_id)
-            if not future.done():
-                future.set_exception(
-                    types.NotLeader(leader=self.leader, step="read")
-                )
+        self._reads.resolve(
+            confirmed=confirmed, failed=failed, leader=self.leader
+        )
 
     def _reject_proposals(self) -> None:
         if not self._queued and not self._appended:
@@ -390,10 +391,7 @@
         if self._tick_timer is not None:
             self._tick_timer.cancel()
         self._reject_proposals()
-        for future in self._pending_reads.values():
-            if not future.done():
-                future.set_exception(types.NotLeader(leader="", step="read"))
-        self._pending_reads.clear()
+        self._reads.fail_all()
         self._applied.set()
         metrics.LEADER.set(0)
         self.stopped.set()
--- a/src/monsoonhinge/consensus/files.py
+++ b/src/monsoonhinge/consensus/files.py
@@ -12,6 +12,10 @@
     """The data directory cannot be used; the member must stop."""
 
 
+class DiskFullError(StorageError, errors.TemporaryError):
+    """The disk takes no more bytes; the same write may succeed later."""
+
+
 class Files(typing.Protocol):
     """Operations on the files of one directory.
 
--- a/src/monsoonhinge/consensus/metrics.py
+++ b/src/monsoonhinge/consensus/metrics.py
@@ -24,6 +24,10 @@
     "Time from a proposal to its result on the leader.",
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2),
 )
+DISK_FULL = prometheus_client.Gauge(
+    "monsoonhinge_consensus_disk_full",
+    "1 while the disk takes no more bytes, else 0.",
+)
 WRITE_SECONDS = prometheus_client.Histogram(
     "monsoonhinge_consensus_write_seconds",
     "Time to make one write durable.",
--- a/src/monsoonhinge/consensus/storage.py
+++ b/src/monsoonhinge/consensus/storage.py
@@ -5,6 +5,7 @@
 older log files are then removed.
 """
 
+import errno
 import secrets
 import struct
 import zlib
@@ -20,6 +21,8 @@
 _TEMPORARY_SUFFIX = ".tmp"
 _IDENTITY_BYTES = 8
 
+_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+
 # Magic bytes, last index, last term, and CRC-32 over both and the payload.
 _SNAPSHOT_HEADER = struct.Struct(">4sQQI")
 _SNAPSHOT_MAGIC = b"MhS1"
@@ -53,6 +56,7 @@
         self._log_number = 0
         self._log_size = 0
         self._write_failed = False
+        self._has_partial_write = False
         try:
             self._open()
         except OSError as error:
@@ -62,6 +66,8 @@
         """Makes a write durable.
 
         Raises:
+            storage_files.DiskFullError: There is no room. Only the same write
+                may follow.
             storage_files.StorageError: The write may or may not be durable.
                 Later writes fail as well, because the kernel may have dropped
                 data after a failed fsync without reporting it in a later one.
@@ -74,6 +80,7 @@
             term=write.term, vote=write.vote, entries=write.entries
         )
         try:
+            self._discard_partial_write()
             if write.snapshot is not None:
                 self._replace_file(
                     _SNAPSHOT_FILE, _encode_snapshot(write.snapshot)
@@ -88,13 +95,26 @@
                 self._files.sync(self._log_name)
                 self._log_size += len(data)
         except OSError as error:
-            self._write_failed = True
+            self._has_partial_write = True
+            self._write_failed = error.errno not in _FULL_ERRORS
             raise _storage_error("write", error) from error
         self.term, self.vote = write.term, write.vote
 
     @property
     def _log_name(self) -> str:
-        return f"{_LOG_PREFIX}{self._log_number:010}"
+        return _log_name(self._log_number)
+
+    def _discard_partial_write(self) -> None:
+        """Removes what an unsuccessful write has left behind."""
+        if not self._has_partial_write:
+            return
+        names = self._files.names()
+        for name in names:
+            if name.endswith(_TEMPORARY_SUFFIX):
+                self._files.remove(name)
+        if self._log_name in names:
+            self._files.truncate(self._log_name, self._log_size)
+        self._has_partial_write = False
 
     def _open(self) -> None:
         names = sorted(self._files.names())
@@ -183,12 +203,13 @@
         old_names = [
             name for name in self._files.names() if name.startswith(_LOG_PREFIX)
         ]
-        self._log_number += 1
         data = records.encode(record, offset=0)
-        self._replace_file(self._log_name, data)
+        self._replace_file(_log_name(self._log_number + 1), data)
+        self._log_number += 1
         self._log_size = len(data)
         for name in old_names:
-            self._files.remove(name)
+            if name != self._log_name:
+                self._files.remove(name)
 
     def _replace_file(self, name: str, data: bytes) -> None:
         temporary = name + _TEMPORARY_SUFFIX
@@ -198,10 +219,15 @@
         self._files.sync_directory()
 
 
+def _log_name(number: int) -> str:
+    return f"{_LOG_PREFIX}{number:010}"
+
+
 def _storage_error(step: str, error: OSError) -> storage_files.StorageError:
-    return storage_files.StorageError(
-        f"data directory: {error.strerror or error}", step=step
-    )
+    kind = storage_files.StorageError
+    if error.errno in _FULL_ERRORS:
+        kind = storage_files.DiskFullError
+    return kind(f"data directory: {error.strerror or error}", step=step)
 
 
 def _snapshot_checksum(last_index: int, last_term: int, payload: bytes) -> int:
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -60,7 +60,11 @@
             )
         self.draining = False
         self.files = storage_files.Directory(config.data_dir)
-        storage = raft_storage.Storage(self.files)
+        try:
+            storage = raft_storage.Storage(self.files)
+        except errors.MonsoonhingeError:
+            self.files.close()
+            raise
         self.replicated_state = replicated_state.ReplicatedState()
         self.transport = raft_transport.Transport(
             identity=self.identity, handler=self
@@ -159,6 +163,8 @@
             return "draining"
         if self.driver.failure is not None:
             return "failed"
+        if self.driver.disk_full:
+            return "disk full"
         return "" if self.driver.leader else "no leader known"
 
     def dump(self) -> dict[str, Any]:
--- a/src/monsoonhinge/runtime/errors.py
+++ b/src/monsoonhinge/runtime/errors.py
@@ -25,6 +25,10 @@
         return f"{message} ({', '.join(context)})" if context else message
 
 
+class TemporaryError(MonsoonhingeError):
+    """An operation that may succeed later, without a change of settings."""
+
+
 class SettingsError(MonsoonhingeError):
     """A settings file is unreadable or invalid.
 
--- a/src/monsoonhinge/runtime/service.py
+++ b/src/monsoonhinge/runtime/service.py
@@ -25,6 +25,9 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
+# Delay before a process that cannot start for now is created again.
+_START_RETRY_S = 0.5
+
 _SECRET_SETTINGS = {"cluster_secret", "key_secret"}
 
 _LOG = logging.getLogger(__name__)
@@ -130,7 +133,7 @@
     read_settings: Callable[[], _Settings],
 ) -> int:
     try:
-        process = factory(config)
+        process = await _create(config, factory)
     except (OSError, errors.MonsoonhingeError) as error:
         _LOG.error("cannot start the process: %s", error)
         return EXIT_FAILED
@@ -179,6 +182,21 @@
     return 0
 
 
+async def _create(
+    config: _Settings, factory: Callable[[_Settings], Process]
+) -> Process:
+    """Creates the process, once the reasons that may pass have passed."""
+    reported = ""
+    while True:
+        try:
+            return factory(config)
+        except errors.TemporaryError as error:
+            if str(error) != reported:
+                reported = str(error)
+                _LOG.warning("waiting to start the process: %s", error)
+            await asyncio.sleep(_START_RETRY_S)
+
+
 def _reload(process: "Reloadable", read_settings: Callable[[], Any]) -> None:
     """Applies changed settings; keeps the old ones if they are invalid."""
     try:
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import errno
 import hashlib
 import heapq
 import random
@@ -47,10 +48,13 @@
     Attributes:
         operations_until_failure: Number of operations after which each one
             fails with an I/O error; negative if none fails.
+        operations_until_full: Number of operations after which the disk takes
+            no more bytes; negative if it has room.
     """
 
     def __init__(self) -> None:
         self.operations_until_failure = -1
+        self.operations_until_full = -1
         self._files: dict[str, _Inode] = {}
         self._durable_files: dict[str, _Inode] = {}
 
@@ -59,6 +63,11 @@
             raise OSError(5, "Input/output error")
         self.operations_until_failure -= 1
 
+    def _check_room(self) -> None:
+        if self.operations_until_full == 0:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        self.operations_until_full -= 1
+
     def names(self) -> list[str]:
         return list(self._files)
 
@@ -67,10 +76,17 @@
 
     def append(self, name: str, data: bytes) -> None:
         self._count_operation()
-        self._files.setdefault(name, _Inode()).data += data
+        inode = self._files.setdefault(name, _Inode())
+        try:
+            self._check_room()
+        except OSError:
+            inode.data += data[: len(data) // 2]
+            raise
+        inode.data += data
 
     def sync(self, name: str) -> None:
         self._count_operation()
+        self._check_room()
         self._files[name].synced_bytes = len(self._files[name].data)
 
     def truncate(self, name: str, size: int) -> None:
@@ -80,6 +96,7 @@
 
     def rename(self, old: str, new: str) -> None:
         self._count_operation()
+        self._check_room()
         self._files[new] = self._files.pop(old)
 
     def remove(self, name: str) -> None:
@@ -88,6 +105,7 @@
 
     def sync_directory(self) -> None:
         self._count_operation()
+        self._check_room()
         self._durable_files = dict(self._files)
 
     def corrupt(self, name: str, position: int) -> None:
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -71,6 +71,45 @@
     assert reopened.term == (2 if reopened.entries[-1].index > index else 1)
 
 
+@hypothesis.given(
+    st.integers(0, 2**32), st.integers(0, 8), st.booleans(), st.booleans()
+)
+def test_write_on_a_full_disk_is_made_durable_once_there_is_room(
+    seed: int, operations_until_full: int, snapshots: bool, loses_power: bool
+) -> None:
+    """Guards against a member that ends, or loses entries, on a full disk."""
+    rng = random.Random(seed)
+    disk = cluster.FakeDisk()
+    store = storage.Storage(disk)
+    store.write(_write_of([cluster.entry(1), cluster.entry(2)]))
+    snapshot = types.Snapshot(last_index=2, last_term=1) if snapshots else None
+    attempted = _write_of([cluster.entry(3, term=2)], term=2, snapshot=snapshot)
+    disk.operations_until_full = operations_until_full
+    is_full = False
+    for _ in range(3):
+        try:
+            store.write(attempted)
+        except storage_files.DiskFullError:
+            is_full = True
+            disk.operations_until_full = rng.randint(0, 2)
+    if is_full and loses_power:
+        disk.operations_until_full = -1
+        disk.power_off(rng)
+        reopened = storage.Storage(disk)
+        assert reopened.term in (1, 2)
+        assert reopened.entries[-1].index >= 2
+        return
+    disk.operations_until_full = -1
+    if is_full:
+        store.write(attempted)
+    store.write(_write_of([cluster.entry(4, term=2)], term=2))
+    disk.power_off(rng)
+    reopened = storage.Storage(disk)
+    assert reopened.term == 2
+    assert [entry.index for entry in reopened.entries][-2:] == [3, 4]
+    assert reopened.snapshot.last_index == (2 if snapshots else 0)
+
+
 def test_torn_tail_is_truncated() -> None:
     """Guards against a member that cannot start after a torn write."""
     disk, size = _disk_with_entries(5)
