Refuse at once what a gateway without control members cannot serve

Change: once its configuration is unconfirmed for longer than it may be, a gateway refuses what waits at once: with a key, since it may not run; without one, if no target has or loads its model. A withdrawn key refuses what waits when the configuration arrives, not at dispatch. Listeners moved to a module of their own.

--- a/src/monsoonhinge/ingress/gateway_context.py
+++ b/src/monsoonhinge/ingress/gateway_context.py
@@ -9,6 +9,7 @@
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import prompt_quarantine
 from monsoonhinge.ingress import rate_limiter
+from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_notices
@@ -31,6 +32,8 @@
         crash_reporter: Reports crashed targets.
         still_authorized: Returns whether the key of an admitted request is
             still valid.
+        hopeless_wait: Returns the refusal of a request with these requirements
+            that waits until this time, if it cannot be served by then.
         demand_changed: Called when a request starts or stops waiting or
             running.
         dispatch_at: Schedules a dispatch of the wait queue at a time of the
@@ -47,5 +50,8 @@
     quarantine: prompt_quarantine.PromptQuarantine
     crash_reporter: crash_reports.CrashReporter
     still_authorized: Callable[[admission.AdmittedRequest], bool]
+    hopeless_wait: Callable[
+        [load_balancer.Requirements, float], refusal.Refusal | None
+    ]
     demand_changed: Callable[[], None]
     dispatch_at: Callable[[float], None]
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import logging
 import random
 from typing import Any
 
@@ -14,6 +13,7 @@
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import fleet_client
 from monsoonhinge.ingress import gateway_context
+from monsoonhinge.ingress import listeners
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import metrics
 from monsoonhinge.ingress import prompt_quarantine
@@ -42,11 +42,6 @@
 # Requests that still wait this long before the end of the grace period are
 # refused, so that callers can retry them at another gateway.
 _REFUSE_WAITING_BEFORE_END_S = 2.5
-_SHUTDOWN_TIMEOUT_S = 0.5
-
-# Long enough that callers close their idle connections first.
-_KEEPALIVE_TIMEOUT_S = 75.0
-_MAX_HEADER_BYTES = 32 * 1024
 
 
 class IngressProcess:
@@ -119,7 +114,7 @@
         self._dialect = request_dialect
         self._target_client: target_client.TargetClient | None = None
         self._crash_reporter: crash_reports.CrashReporter | None = None
-        self._runners: list[web.ServerRunner] = []
+        self._listeners = listeners.HttpListeners()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -145,6 +140,7 @@
                 view=self.fleet_client.view,
                 staleness_s=self.fleet_client.staleness(loop.time()),
             ),
+            hopeless_wait=self._hopeless_wait,
             demand_changed=self.fleet_client.demand_changed,
             dispatch_at=self._dispatch_waiting_at,
         )
@@ -155,8 +151,8 @@
             token_quota=self.quota,
         )
         self.fleet_client.start()
-        await self._listen(self.handler.handle, self.config.callers)
-        await self._listen(self._readiness, self.config.readiness)
+        await self._listeners.listen(self.handler.handle, self.config.callers)
+        await self._listeners.listen(self._readiness, self.config.readiness)
         self._tasks = [
             loop.create_task(self._run_periodic_tasks()),
             loop.create_task(self.fleet_client.repeat_demand()),
@@ -205,8 +201,7 @@
         """Cancels all tasks and closes all connections and listeners."""
         for task in self._tasks:
             task.cancel()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._listeners.close()
         if self._crash_reporter is not None:
             self._crash_reporter.stop()
         await self.quota.stop()
@@ -220,8 +215,7 @@
             return "draining"
         if not self.fleet_client.view.version:
             return "no configuration yet"
-        now = asyncio.get_running_loop().time()
-        if self.fleet_client.staleness(now) > self.config.max_staleness_s:
+        if self._is_cut_off():
             return "stale configuration"
         return "" if self.targets.by_name else "no target yet"
 
@@ -255,6 +249,7 @@
     def config_changed(self, view: config_view.View) -> None:
         """Logs a new configuration and dispatches waiting requests."""
         events.emit(events.CONFIG, version=view.version)
+        self.wait_queue.fail_each(lambda queued: queued.authorization_error())
         self._dispatch_waiting()
 
     def _on_registrations(
@@ -301,16 +296,34 @@
 
     def _target_paused(self, until: float) -> None:
         """Refuses what cannot wait for a target that asked for a pause."""
-        now = asyncio.get_running_loop().time()
+        self._refuse_hopeless()
+        self._dispatch_waiting_at(until)
+
+    def _refuse_hopeless(self) -> None:
         self.wait_queue.fail_each(
-            lambda queued: readiness.hopeless_wait(
-                queued.requirements,
-                balancer=self.balancer,
-                queue_deadline=queued.queue_deadline,
-                now=now,
+            lambda queued: (
+                queued.authorization_error()
+                or self._hopeless_wait(
+                    queued.requirements, queued.queue_deadline
+                )
             )
         )
-        self._dispatch_waiting_at(until)
+
+    def _hopeless_wait(
+        self, requirements: load_balancer.Requirements, queue_deadline: float
+    ) -> refusal.Refusal | None:
+        return readiness.hopeless_wait(
+            requirements,
+            balancer=self.balancer,
+            queue_deadline=queue_deadline,
+            cut_off=self._is_cut_off(),
+            now=asyncio.get_running_loop().time(),
+        )
+
+    def _is_cut_off(self) -> bool:
+        """Returns whether the configuration is unconfirmed for too long."""
+        now = asyncio.get_running_loop().time()
+        return self.fleet_client.staleness(now) > self.config.max_staleness_s
 
     def _refuse_waiting(self) -> None:
         self.wait_queue.fail_all(
@@ -346,34 +359,13 @@
 
     def _open_startup_gate(self) -> None:
         """Opens the startup gate once the configuration is confirmed."""
-        now = asyncio.get_running_loop().time()
         if (
             self.handler is not None
             and self.fleet_client.view.version
-            and self.fleet_client.staleness(now) <= self.config.max_staleness_s
+            and not self._is_cut_off()
         ):
             self.handler.startup_gate.open()
 
-    async def _listen(self, handler: Any, address: settings.Address) -> None:
-        # The HTTP server logs excerpts of malformed requests, which may contain
-        # caller keys. Its logger is therefore disabled.
-        disabled_logger = logging.getLogger("monsoonhinge.ingress.http")
-        disabled_logger.disabled = True
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            logger=disabled_logger,
-            keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_field_size=_MAX_HEADER_BYTES,
-            auto_decompress=False,
-        )
-        runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
-        await runner.setup()
-        await web.TCPSite(runner, address.host, address.port).start()
-        self._runners.append(runner)
-
     async def _readiness(self, request: web.BaseRequest) -> web.Response:
         reason = self.not_ready_reason()
         return web.Response(
@@ -386,6 +378,8 @@
             await asyncio.sleep(_TICK_S)
             self.quota.maintain_accounts()
             self._dispatch_waiting()
+            if self._is_cut_off():
+                self._refuse_hopeless()
             self._open_startup_gate()
             metrics.WAITING_REQUESTS.set(self.wait_queue.count())
             metrics.CONFIG_STALENESS_SECONDS.set(
--- a/src/monsoonhinge/ingress/readiness.py
+++ b/src/monsoonhinge/ingress/readiness.py
@@ -14,6 +14,9 @@
 _DEFAULT_ESTIMATE_S = 1.0
 _MIN_ESTIMATE_S = 0.05
 
+# A gateway that is cut off cannot serve what another one may serve at once.
+_OTHER_GATEWAY_RETRY_S = 0.5
+
 
 def seconds_until_ready(
     requirements: load_balancer.Requirements,
@@ -58,22 +61,28 @@
     *,
     balancer: load_balancer.LoadBalancer,
     queue_deadline: float,
+    cut_off: bool,
     now: float,
 ) -> refusal.Refusal | None:
     """Returns the refusal of a request that cannot be served in time.
 
     Load pattern: all targets with the model have asked for a pause, or have no
     permit left, beyond the time that the request can wait. The model is not
-    loaded elsewhere, since it is loaded there.
+    loaded elsewhere, since it is loaded there. Or the gateway is cut off from
+    the control members, so that nobody loads the models that it asks for.
 
     Args:
         requirements: Requirements of the request.
         balancer: Chooses targets.
         queue_deadline: When the request stops waiting, in event loop seconds.
+        cut_off: Whether no control member has confirmed this gateway's
+            configuration for too long.
         now: Current time of the event loop.
     """
     opens_at = balancer.opens_at(requirements)
-    if opens_at is None or opens_at < queue_deadline:
+    if opens_at is not None and opens_at < queue_deadline:
+        return None
+    if opens_at is None and not cut_off:
         return None
     if requirements.model:
         ready_at = balancer.targets.earliest_ready_at(
@@ -83,6 +92,12 @@
         )
         if ready_at is not None and ready_at < queue_deadline:
             return None
+    if opens_at is None:
+        return refusal.Refusal(
+            refusal.Reason.NO_TARGET,
+            retry_after_s=_OTHER_GATEWAY_RETRY_S,
+            step="wait",
+        )
     return refusal.Refusal(
         refusal.Reason.TARGETS_FULL, retry_after_s=opens_at - now, step="wait"
     )
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -141,7 +141,7 @@
             target = await self._acquisition.acquire(
                 releases_tokens=not self.attempts
             )
-            self._check_authorization()
+            self._acquisition.check_authorization()
             self._context.quarantine.check(
                 self.parsed.shared_parts, self._loop.time()
             )
@@ -205,7 +205,7 @@
     ) -> target_client.TargetResponse:
         left_s = self.limits.deadline - now
         if left_s <= 0:
-            raise self._acquisition.refusal()
+            raise self._acquisition.wait_refusal()
         timeout_s = None
         if self._attempts_left():
             timeout_s = self.limits.attempt_timeout_s
@@ -254,14 +254,6 @@
         if self._requirements.model:
             self._context.demand_changed()
 
-    def _check_authorization(self) -> None:
-        if not self._context.still_authorized(self.admitted):
-            raise refusal.Refusal(
-                refusal.Reason.STALE_CONFIGURATION,
-                retry_after_s=_RETRY_AFTER_S,
-                step="dispatch",
-            )
-
     def _attempts_left(self) -> bool:
         return (
             self.admitted.retryable
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -12,6 +12,8 @@
 from monsoonhinge.ingress import token_reservation
 from monsoonhinge.ingress import wait_queue
 
+_RETRY_AFTER_S = 0.3
+
 
 class TargetAcquisition:
     """Chooses targets for the attempts of one request.
@@ -66,7 +68,7 @@
             if await self._context.rate_limiter.acquire(target):
                 return target
 
-    def refusal(self) -> refusal.Refusal:
+    def wait_refusal(self) -> refusal.Refusal:
         """Returns the refusal of the request if it can no longer be served."""
         return readiness.wait_refusal(
             self._requirements,
@@ -75,15 +77,33 @@
             now=self._loop.time(),
         )
 
+    def check_authorization(self) -> None:
+        """Checks that the request may still run.
+
+        Raises:
+            refusal.Refusal: Its key was withdrawn, or the configuration is no
+                longer confirmed.
+        """
+        error = self._authorization_error()
+        if error is not None:
+            raise error
+
+    def _authorization_error(self) -> refusal.Refusal | None:
+        if self._context.still_authorized(self._admitted):
+            return None
+        return refusal.Refusal(
+            refusal.Reason.STALE_CONFIGURATION,
+            retry_after_s=_RETRY_AFTER_S,
+            step="dispatch",
+        )
+
     async def _wait_for_target(self) -> target_table.Target:
         now = self._loop.time()
         if now >= self._limits.queue_deadline:
-            raise self.refusal()
-        hopeless = readiness.hopeless_wait(
-            self._requirements,
-            balancer=self._context.balancer,
-            queue_deadline=self._limits.queue_deadline,
-            now=now,
+            raise self.wait_refusal()
+        self.check_authorization()
+        hopeless = self._context.hopeless_wait(
+            self._requirements, self._limits.queue_deadline
         )
         if hopeless is not None:
             raise hopeless
@@ -95,6 +115,7 @@
             queue_deadline=self._limits.queue_deadline,
             avoided_targets=self.avoided_targets,
             shared_parts=self._parsed.shared_parts,
+            authorization_error=self._authorization_error,
             future=self._loop.create_future(),
         )
         self._context.wait_queue.add(queued)
@@ -103,7 +124,7 @@
             async with asyncio.timeout_at(self._limits.queue_deadline):
                 return await queued.future
         except TimeoutError:
-            raise self.refusal() from None
+            raise self.wait_refusal() from None
         finally:
             self._context.wait_queue.remove(queued)
             self._context.demand_changed()
--- a/src/monsoonhinge/ingress/wait_queue.py
+++ b/src/monsoonhinge/ingress/wait_queue.py
@@ -10,6 +10,7 @@
 import math
 
 from monsoonhinge.ingress import load_balancer
+from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import target_table
 from monsoonhinge.protocol import fleet
 
@@ -28,6 +29,8 @@
         avoided_targets: Targets that already failed or rejected the request.
         shared_parts: Prompt parts that other requests may have as well.
         future: Receives the target.
+        authorization_error: Returns why the request may no longer run, or
+            None.
     """
 
     requirements: load_balancer.Requirements
@@ -38,6 +41,7 @@
     avoided_targets: set[str]
     shared_parts: list[str]
     future: asyncio.Future[target_table.Target]
+    authorization_error: Callable[[], refusal.Refusal | None] = lambda: None
 
 
 class WaitQueue:
--- a/tests/ingress/test_retry_after.py
+++ b/tests/ingress/test_retry_after.py
@@ -70,12 +70,16 @@
 
 
 def _wait_refusal(
-    balancer: load_balancer.LoadBalancer, queue_deadline: float
+    balancer: load_balancer.LoadBalancer,
+    queue_deadline: float,
+    *,
+    cut_off: bool = False,
 ) -> refusal.Refusal | None:
     return readiness.hopeless_wait(
         _REQUIREMENTS,
         balancer=balancer,
         queue_deadline=queue_deadline,
+        cut_off=cut_off,
         now=1.0,
     )
 
@@ -110,3 +114,20 @@
 def test_model_that_no_target_holds_is_waited_for() -> None:
     """Guards against refusing requests for models that are not loaded."""
     assert _wait_refusal(_balancer(), 4.0) is None
+
+
+def test_cut_off_gateway_refuses_what_nobody_will_load() -> None:
+    """Guards against requests that wait in vain until their callers leave."""
+    refused = _wait_refusal(_balancer(), 9.0, cut_off=True)
+    assert refused is not None
+    assert refused.status == 503
+    assert refused.retry_after_s is not None
+
+
+def test_cut_off_gateway_serves_what_it_knows() -> None:
+    """Guards against refusing requests for loaded and loading models."""
+    assert _wait_refusal(_balancer(3.0), 4.0, cut_off=True) is None
+    balancer = _balancer(9.0)
+    balancer.targets.by_name["i-0"].models.clear()
+    balancer.targets.by_name["i-0"].ready_at["m1"] = 2.0
+    assert _wait_refusal(balancer, 4.0, cut_off=True) is None
