Ask silent engines before their loads are started elsewhere

An engine whose announcements were late by 3.6 s was taken out of the placement, its load was dropped and started again on another engine, though it was sound.

Change: the lease holder asks a silent engine itself (fleet/silent_engines) and keeps it while it replies; until the first reply it plans nothing new there. An engine that does not reply is removed as before, 1 s later at most. Publication of placements moved to a module of its own.

Evidence: test_load_of_a_silent_engine_is_not_started_again_elsewhere failed before (3 loads for 1); test_load_of_an_engine_that_does_not_reply_is_started_elsewhere guards the other side.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -13,9 +13,11 @@
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.fleet import orders
 from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import placement_feed
 from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import placement_report
 from monsoonhinge.fleet import registry as target_registry
+from monsoonhinge.fleet import silent_engines
 from monsoonhinge.fleet import swaps
 from monsoonhinge.fleet import weightstore
 from monsoonhinge.protocol import fleet
@@ -27,8 +29,8 @@
 # Expected time for the unloads of a swap, before its load starts.
 _UNLOAD_DURATION_S = 0.1
 
-# Minimum interval between updates of the running counts to gateways.
-_RUNNING_PUBLISH_INTERVAL_S = 0.5
+# Time without new swaps on a silent engine that has not replied yet.
+_SILENT_PAUSE_S = 0.3
 
 # Time without new swaps after an engine refused an order.
 _REFUSAL_BACKOFF_S = 1.0
@@ -65,25 +67,29 @@
         self._registry = registry
         self._client = client
         self._lease_held = lease_held
-        self._publish = publish
         self._on_lease_lost = on_lease_lost
         self._store_limiter = weightstore.StoreLimiter(window_s=loads_window_s)
         self._channels: dict[str, orders.Channel] = {}
         self._tasks: dict[str, set[asyncio.Task[None]]] = {}
-        self._published: dict[str, fleet.Placement] = {}
-        self._running_published_at = 0.0
+        self._feed = placement_feed.PlacementFeed(
+            fencing=fencing, publish=publish
+        )
         self._adapter_loader = adapter_loader.AdapterLoader(
             on_change=self._publish_current,
             on_lease_lost=on_lease_lost,
             on_state_unknown=self._resynchronize_engine,
         )
         self._reporter = placement_report.PlacementReporter()
+        self._silent_engines = silent_engines.SilentEngines(
+            replies=self._replies
+        )
 
     def stop(self) -> None:
         """Cancels all tasks, so that no more orders are sent."""
         for tasks in self._tasks.values():
             for task in tasks:
                 task.cancel()
+        self._silent_engines.stop()
 
     def reconcile(self, view: config_view.View, now: float) -> None:
         """Updates the engines, then starts the loads that the plan requires."""
@@ -193,7 +199,11 @@
         for target in list(self.engines):
             known = self.engines[target].registration
             current = ready.get(target)
-            if current is None or current.incarnation != known.incarnation:
+            if current is not None and (
+                current.incarnation == known.incarnation
+            ):
+                self._silent_engines.forget(target)
+            elif not self._keeps_silent(self.engines[target], now):
                 self._remove_engine(target, now)
         for target, registration in ready.items():
             service = view.ingress_services.get(registration.service)
@@ -207,6 +217,25 @@
             if engine.registration.sequence != registration.sequence:
                 engine.apply_announcement(registration, now)
 
+    def _keeps_silent(self, engine: engines.Engine, now: float) -> bool:
+        """Returns whether an engine that is not ready is only silent."""
+        known = engine.registration
+        if not self._registry.is_silent(engine.target, known.incarnation):
+            return False
+        kept = self._silent_engines.is_kept(
+            engine.target, known.incarnation, now
+        )
+        if kept and not self._silent_engines.is_confirmed(engine.target):
+            engine.retry_at = max(engine.retry_at, now + _SILENT_PAUSE_S)
+        return kept
+
+    async def _replies(self, target: str) -> bool:
+        try:
+            await self._channels[target].fetch_report()
+        except (KeyError, engine_client.NoResponseError):
+            return False
+        return True
+
     def _add_engine(
         self, registration: fleet.Registration, limits: Any, now: float
     ) -> None:
@@ -233,7 +262,8 @@
                 target, model, loaded=False, now=now
             )
         self._adapter_loader.forget(target)
-        self._published.pop(target, None)
+        self._silent_engines.forget(target)
+        self._feed.forget(target)
 
     def _spawn(self, target: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -347,42 +377,8 @@
         self._publish_changes(asyncio.get_running_loop().time())
 
     def _publish_changes(self, now: float) -> None:
-        include_running = (
-            now - self._running_published_at >= _RUNNING_PUBLISH_INTERVAL_S
+        self._feed.publish_changes(
+            self.engines.values(),
+            adapters_in_flight=self._adapter_loader.in_flight,
+            now=now,
         )
-        changed = []
-        for target, engine in self.engines.items():
-            current = engine.placement(now)
-            for model in current.models:
-                model.adapters = [
-                    adapter
-                    for adapter in model.adapters
-                    if (target, model.name, adapter)
-                    not in self._adapter_loader.in_flight
-                ]
-            previous = self._published.get(target)
-            if previous is None or _has_changed(
-                current, previous, include_running
-            ):
-                self._published[target] = current
-                changed.append(current)
-        if include_running:
-            self._running_published_at = now
-        if changed:
-            self._publish(
-                fleet.Placements(fencing=self.fencing, placements=changed)
-            )
-
-
-def _has_changed(
-    current: fleet.Placement, previous: fleet.Placement, include_running: bool
-) -> bool:
-    if include_running and current.running != previous.running:
-        return True
-    return [_model_state(model) for model in current.models] != [
-        _model_state(model) for model in previous.models
-    ]
-
-
-def _model_state(model: fleet.PlacedModel) -> tuple[str, str, tuple[str, ...]]:
-    return model.name, model.state, tuple(model.adapters)
--- a/src/monsoonhinge/fleet/registry.py
+++ b/src/monsoonhinge/fleet/registry.py
@@ -146,6 +146,16 @@
                 changed.append(self._set_state(entry, left, now))
         return changed
 
+    def is_silent(self, target: str, incarnation: int) -> bool:
+        """Returns whether an incarnation of a target is silent, not leaving."""
+        entry = self.entries.get(target)
+        return (
+            entry is not None
+            and entry.registration.incarnation == incarnation
+            and entry.registration.state == SILENT
+            and not entry.registration.leaving
+        )
+
     def ready_registrations(self) -> list[fleet.Registration]:
         """Returns the registrations of targets that accept new work."""
         return [
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -1,6 +1,7 @@
 """Tests of the placement controller."""
 
 import asyncio
+from collections.abc import Callable
 
 from monsoonhinge.config import ingress
 from monsoonhinge.config import view as config_view
@@ -104,3 +105,114 @@
 
     asyncio.run(run())
     assert not client.orders
+
+
+_LOAD_S = 1.0
+_SILENT_AFTER_S = 0.3
+_MODEL = "m1"
+
+
+class _SlowReporters:
+    """Engines that stop announcing themselves while one loads a model.
+
+    Attributes:
+        replies: Whether they still reply to reports.
+        loads: Targets that were ordered to load the model.
+    """
+
+    def __init__(self, *, replies: bool) -> None:
+        self.replies = replies
+        self.loads: list[str] = []
+        self.on_leaving: Callable[[str], None] = lambda target: None
+        self._loaded_at = float("inf")
+
+    async def order(
+        self,
+        *,
+        address: str,
+        target: str,
+        order: engine_client.Order,
+        timeout_s: float,
+    ) -> engine_client.OrderResponse:
+        if order.load:
+            self.loads.append(target)
+            self._loaded_at = asyncio.get_running_loop().time() + _LOAD_S
+        return engine_client.OrderResponse.STARTED
+
+    async def report(
+        self, *, address: str, target: str, timeout_s: float
+    ) -> engine_client.Report:
+        if not self.loads or target != self.loads[0]:
+            return world.report({})
+        if not self.replies:
+            raise engine_client.NoResponseError("no response")
+        if asyncio.get_running_loop().time() < self._loaded_at:
+            return world.report({}, order_count=1, busy=True)
+        return world.report({_MODEL: []}, order_count=1)
+
+    async def close(self) -> None:
+        pass
+
+
+def _play_silence(client: _SlowReporters) -> list[str]:
+    """Lets the engine that loads a model fall silent; returns who loads it."""
+
+    async def run() -> list[str]:
+        loop = asyncio.get_running_loop()
+        registry = target_registry.Registry(silent_after_s=_SILENT_AFTER_S)
+        tracker = demand.DemandTracker()
+        placer = controller.PlacementController(
+            fencing=7,
+            holder="h",
+            registry=registry,
+            demand_tracker=tracker,
+            client=client,
+            loads_window_s=5.0,
+            lease_held=lambda: True,
+            publish=lambda message: None,
+            on_lease_lost=lambda: None,
+        )
+        # With other models, engines without work would load them.
+        limits = world.LIMITS.model_copy(
+            update={"models": [world.model(_MODEL)]}
+        )
+        service = ingress.IngressService(name=world.SERVICE, engine=limits)
+        view = config_view.View(
+            version=1, objects={f"ingress_service/{world.SERVICE}": service}
+        )
+        started_at = loop.time()
+        sequence = 0
+        while loop.time() < started_at + 2.5 * _LOAD_S:
+            sequence += 1
+            for number in range(_FREE_ENGINES):
+                name = f"t{number}"
+                if name in client.loads[:1]:
+                    continue
+                registration = world.registration(
+                    name,
+                    address=f"10.0.0.{number + 1}:80",
+                    sequence=sequence,
+                    on_disk=(_MODEL,),
+                )
+                registry.record_announcement(registration, loop.time())
+            registry.expire(loop.time())
+            if loop.time() > started_at + 0.4:
+                tracker.update(_demand(_MODEL), loop.time())
+            placer.reconcile(view, loop.time())
+            await asyncio.sleep(0.05)
+        placer.stop()
+        return client.loads
+
+    return asyncio.run(run())
+
+
+def test_load_of_a_silent_engine_is_not_started_again_elsewhere() -> None:
+    """Guards against giving up work of an engine that is slow to report."""
+    loads = _play_silence(_SlowReporters(replies=True))
+    assert len(loads) == 1
+
+
+def test_load_of_an_engine_that_does_not_reply_is_started_elsewhere() -> None:
+    """Guards against waiting for an engine that is gone."""
+    loads = _play_silence(_SlowReporters(replies=False))
+    assert len(set(loads)) >= 2
