Evict no adapter whose load has no response

An adapter whose load had no response could be chosen for eviction: the engine answers that it is not there and counts no order, the holder counts one, and the delayed load is carried out on top of a further one.

Change: such adapters are not evicted until their order is settled.

Evidence: test_adapter_of_an_unanswered_order_is_not_evicted failed before.

--- a/src/monsoonhinge/fleet/adapters.py
+++ b/src/monsoonhinge/fleet/adapters.py
@@ -138,7 +138,11 @@
 def _least_recently_used(
     engine: engines.Engine, model: str, now: float
 ) -> tuple[str, str] | None:
-    """Returns the least recently used adapter whose memory is enough."""
+    """Returns the least recently used adapter whose memory is enough.
+
+    An adapter whose load has no response is not evicted: the engine may lack
+    it now, count no unload, and load it later.
+    """
     missing_bytes = engine.adapter_bytes(model) - engine.free_bytes()
     candidates = sorted(
         (last_used_at, name, adapter)
@@ -148,5 +152,6 @@
         for adapter, last_used_at in replica.adapters.items()
         if now - last_used_at > _MIN_IDLE_S
         and (name, adapter) not in engine.adapters_in_use
+        and (name, adapter) not in engine.unsettled
     )
     return (candidates[0][1], candidates[0][2]) if candidates else None
--- a/tests/fleet/test_adapter_loader.py
+++ b/tests/fleet/test_adapter_loader.py
@@ -4,6 +4,7 @@
 
 from monsoonhinge.fleet import adapter_loader
 from monsoonhinge.fleet import adapters
+from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine_client
 from monsoonhinge.fleet import orders
 from tests.fleet import world
@@ -127,3 +128,25 @@
     assert asyncio.run(run()) is orders.Outcome.UNKNOWN
     loader.engine.apply_report(world.report({"m1": []}), 100.0)
     assert "m2" in loader.engine.replicas
+
+
+def test_adapter_of_an_unanswered_order_is_not_evicted() -> None:
+    """Guards against an unload that the engine does not count.
+
+    It answered that the adapter was not there, did not count the order, and
+    carried out the delayed load afterwards, on top of a further one.
+    """
+    engine = world.engine(models=("m1",))
+    names = [f"a{number}" for number in range(world.LIMITS.adapter_capacity)]
+    for age, name in enumerate(names):
+        engine.replicas["m1"].adapters[name] = float(age)
+    engine.unsettled.add(("m1", "a0"), expected_order_count=0, now=50.0)
+    need = demand.Need(waiting=1, adapters={"new": 1})
+    (load,) = adapters.plan(
+        service=world.SERVICE,
+        fleet=[engine],
+        needs={world.key("m1"): need},
+        in_flight=(),
+        now=100.0,
+    )
+    assert load.eviction == ("m1", "a1")
