Limit store loads by the store and the free engines

The class: work allowed as a fraction of the fleet.

Change: what limits them is what is short: the reads of the store, as learned, and the free engines beyond those that the expected loads from copies occupy (at most half). Every waiting model without a load has an obstacle, two of them new.

Evidence: three tests of test_large_fleet failed before.

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -17,27 +17,11 @@
 from monsoonhinge.fleet import load_value
 from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import replica_targets
-
-# Time for which a swap from local disk occupies an engine. It determines how
-# many engines are kept free of store loads for rarely used models.
-_DISK_SWAP_S = 1.5
-
-# Concurrent store loads as a fraction of the engines. A store load occupies an
-# engine for seconds, in which it cannot carry out other loads.
-_STORE_LOAD_FRACTION = 0.4
-
-# Store loads for models without a cached copy start only below this number of
-# concurrent store loads, as a fraction of the engines, and with at least this
-# many idle engines.
-_UNCACHED_LOAD_FRACTION = 0.2
-_MIN_IDLE_ENGINES = 2
+from monsoonhinge.fleet import store_policy
 
 # Part of the engines that has to be idle for a load that no request needs yet.
 _MIN_IDLE_FRACTION = 0.5
 
-# Requests that a load of a model without a cached copy has to serve, at least.
-_MIN_UNCACHED_VALUE = 1.0
-
 
 def plan(
     *,
@@ -86,10 +70,7 @@
             and engine.order_count is not None
             and now >= engine.retry_at
         }
-        self.store = store
         self.desired = replica_targets.desired_replicas(fleet, self.needs)
-        self.available_store_starts = store.available_starts
-        self.active_store_loads = store.active_loads
         # Replicas that serve, with the effects of the swaps of this plan.
         self.replica_counts = collections.Counter(
             model
@@ -103,6 +84,14 @@
             if not engine.unreachable and engine.order_count is not None
             for model in engine.in_memory | engine.on_disk
         )
+        self.store = store_policy.StorePolicy(
+            store=store,
+            fleet=fleet,
+            available=self.available,
+            needs=self.needs,
+            desired=self.desired,
+            cached=self.cached,
+        )
         self.evictions = eviction.EvictionPolicy(
             needs=self.needs,
             desired=self.desired,
@@ -137,8 +126,9 @@
     def load_uncached(self) -> None:
         """Loads models without a copy, most valuable first.
 
-        Such a load takes one idle engine for seconds, and leaves another for
-        loads from disk, which serve more requests in the same time.
+        What limits them is what is short: the reads of the store, and the free
+        engines beyond those that loads from cached copies need, which serve
+        more requests in the same time.
         """
         candidates = [
             (
@@ -151,25 +141,20 @@
             and model not in self.desired
             and not self.replica_counts[model]
         ]
-        limit = max(1, round(_UNCACHED_LOAD_FRACTION * len(self.fleet)))
         candidates.sort(key=lambda item: (-item[0], item[1]))
         for value, model, need in candidates:
-            if (
-                value < _MIN_UNCACHED_VALUE
-                or self.active_store_loads >= limit
-                or len(self.available) < _MIN_IDLE_ENGINES
-            ):
-                return
-            self._plan_load(model, need, "uncopied")
+            obstacle = self.store.uncached_obstacle(value, self.replica_counts)
+            if obstacle is None:
+                self._plan_load(model, need, "uncopied")
+            elif need.waiting:
+                self.plan.obstacles[model] = obstacle
 
     def preload_uncached(self) -> None:
         """Loads models that no engine has a copy of, before they are needed.
 
         A request for such a model would wait for seconds, or in vain. No
-        request may wait, and most engines have to be idle. Once there is
-        demand, one load is left for it.
+        request may wait, and most engines have to be idle.
         """
-        limit = self.store.max_concurrency - (1 if self.needs else 0)
         idle = len(self.available) >= _MIN_IDLE_FRACTION * len(self.fleet)
         if not idle or any(need.waiting for need in self.needs.values()):
             return
@@ -179,7 +164,7 @@
             for model in (*engine.replicas, *engine.in_memory, *engine.on_disk)
         }
         for model in self._configured_models():
-            if self.active_store_loads >= limit:
+            if not self.store.may_preload():
                 return
             if model not in copies:
                 need = self.needs.get(model, demand.Need())
@@ -277,7 +262,7 @@
             if model in self.desired and not self._may_add_busy(engine):
                 continue
             from_store = engine.loads_from_store(model)
-            if from_store and not self._may_use_store(engine, model):
+            if from_store and not self.store.permits(engine, model):
                 if model not in self.cached:
                     obstacle = placement_plan.Obstacle.STORE
                 continue
@@ -305,8 +290,7 @@
         self.plan.obstacles.pop(model, None)
         del self.available[swap.target]
         if swap.from_store:
-            self.available_store_starts -= 1
-            self.active_store_loads += 1
+            self.store.record_load()
         self.replica_counts[swap.model] += 1
         self.replica_counts.subtract(swap.evictions)
         self.plan.swaps.append(swap)
@@ -338,61 +322,3 @@
         )
         load_delay = load_s * (1 + need.waiting + copy_delay / 2)
         return load_delay + eviction_cost + adapter_delay
-
-    def _needed_for_adapters(self, engine: engines.Engine) -> bool:
-        """Returns whether no other available engine could load its adapters."""
-        for model, replica in engine.replicas.items():
-            need = self.needs.get(model)
-            if (
-                need is None
-                or replica.state != engines.LOADED
-                or need.adapter_rate
-                < replica_targets.BUSY_ADAPTER_REQUESTS_PER_S
-            ):
-                continue
-            if not any(
-                other is not engine
-                and other.target in self.available
-                and model in other.replicas
-                and other.replicas[model].state == engines.LOADED
-                for other in self.fleet
-            ):
-                return True
-        return False
-
-    def _may_use_store(self, engine: engines.Engine, model: str) -> bool:
-        """Returns whether an engine may start a load from the store.
-
-        In the same time the engine could load several models from its own
-        disk. A rarely used model therefore goes to an engine with few cached
-        copies, or to one that the expected loads from disk do not need.
-        """
-        if self.available_store_starts <= 0:
-            return False
-        if self.active_store_loads >= self._max_store_loads(model):
-            return False
-        if self._needed_for_adapters(engine):
-            return False
-        if model not in self.cached or model in self.desired:
-            return True
-        max_cached = max(len(e.on_disk) for e in self.fleet)
-        if 2 * len(engine.on_disk) <= max_cached:
-            return True
-        rare_rate = sum(
-            item.rate
-            for name, item in self.needs.items()
-            if name not in self.desired
-        )
-        return len(self.available) > max(1, math.ceil(rare_rate * _DISK_SWAP_S))
-
-    def _max_store_loads(self, model: str) -> int:
-        """Returns how many store loads may be in progress with this one.
-
-        The load of a model that is cached elsewhere leaves one for models that
-        only the store has.
-        """
-        store_limit = self.store.max_concurrency
-        if model in self.cached:
-            store_limit -= 1
-        engine_limit = round(_STORE_LOAD_FRACTION * len(self.fleet))
-        return max(1, min(store_limit, engine_limit))
--- a/src/monsoonhinge/fleet/placement_plan.py
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -14,11 +14,17 @@
             not be evicted.
         STORE: The free engines have no cached copy, and no load from the
             weight store may start.
+        RESERVED: A load from the weight store would take the last free
+            engines, which the expected loads from cached copies need.
+        TOO_LATE: No request can wait until a load from the weight store ends,
+            and too few are expected after it.
     """
 
     NO_ENGINE = "no_free_engine"
     NO_EVICTION = "no_evictable_model"
     STORE = "store_limit"
+    RESERVED = "engines_reserved"
+    TOO_LATE = "load_too_late"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -97,6 +97,73 @@
     assert len(never_served) <= 1 + 0.1 * asked_often
 
 
+def _small_fleet(engine_count: int) -> list[engines.Engine]:
+    """Returns a full fleet without copies of further models."""
+    return [
+        world.engine(
+            f"t{number}", models=tuple(f"m{3 * number + n}" for n in range(3))
+        )
+        for number in range(engine_count)
+    ]
+
+
+def test_store_is_read_at_its_full_speed_for_models_that_callers_wait_for() -> (
+    None
+):
+    """Guards against one store load at a time beside six idle engines.
+
+    The number of store loads was a fraction of the engines, whatever the store
+    could read, while the requests for models without a copy died.
+    """
+    fleet = _small_fleet(6)
+    need = demand.Need(
+        rate=0.05,
+        waiting=1,
+        earliest_latency_deadline=3.0,
+        latest_queue_deadline=19.0,
+    )
+    names = ("m18", "m19")
+    plan = _plan(fleet, dict.fromkeys(names, need))
+    assert {swap.model for swap in plan.swaps} == set(names)
+    assert not plan.obstacles
+
+
+def test_store_loads_leave_engines_for_loads_from_copies() -> None:
+    """Guards against store loads that block the loads of several requests."""
+    fleet = _small_fleet(3)
+    for engine in fleet:
+        engine.on_disk.update(("m10", "m11", "m12", "m13"))
+    needs = {
+        name: demand.Need(rate=0.4) for name in ("m10", "m11", "m12", "m13")
+    }
+    for name in ("m18", "m19"):
+        needs[name] = demand.Need(
+            rate=0.05, waiting=1, latest_queue_deadline=19.0
+        )
+    plan = _plan(fleet, needs)
+    assert [swap.model for swap in plan.swaps] == ["m18"]
+    assert plan.obstacles == {"m19": placement_plan.Obstacle.RESERVED}
+
+
+def test_model_that_is_not_loaded_has_an_obstacle() -> None:
+    """Guards against requests that wait while no line says why."""
+    fleet = _small_fleet(6)
+    waiting = demand.Need(rate=0.2, waiting=1, latest_queue_deadline=19.0)
+    too_late = demand.Need(rate=0.01, waiting=1, latest_queue_deadline=2.0)
+    plan = _plan(
+        fleet, {"m17": waiting, "m18": waiting, "m19": waiting, "m0": too_late}
+    )
+    assert len(plan.swaps) == 2
+    plan = _plan(
+        _small_fleet(6)[:1],
+        {"m18": waiting, "m19": too_late},
+    )
+    assert plan.obstacles == {
+        "m18": placement_plan.Obstacle.RESERVED,
+        "m19": placement_plan.Obstacle.TOO_LATE,
+    }
+
+
 def test_busy_replicas_leave_memory_for_rarely_used_models() -> None:
     """Guards against busy models whose replicas may not be evicted anywhere."""
     fleet = _fleet(busy_replicas=8)
