Tell new gateways the rate limits also without a lease holder

Cause: found while the limits were played at 195 gateways: only the holder of the fleet lease told a gateway that connects the limits in force, though every member records them. A gateway that restarted while nobody held the lease sent a limited target all that it had until an answer named the limit.

Change: each member sends its limits to a gateway that connects.

Evidence: test_restarted_gateway_learns_rate_limits_without_a_lease_holder failed before. Played in the decision core with 195 gateways, joins of 30 twice, restarts of half and 4 s without a holder: no window of 4 s above the users' bound (test_permits_hold_while_gateways_join_restart_and_lose_the_holder, shown to hold).

--- a/src/monsoonhinge/fleet/permits.py
+++ b/src/monsoonhinge/fleet/permits.py
@@ -13,7 +13,8 @@
     """Rate limits as gateways report them, and the permits for them.
 
     Every control member records the limits, so that the next holder of the
-    fleet lease knows them; only the holder publishes them and gives permits.
+    fleet lease knows them, and tells them to gateways that connect. Only the
+    holder publishes changes and gives permits.
     """
 
     def __init__(
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -193,8 +193,8 @@
                 )
                 link.notify(self._announced_leases)
                 link.notify(self.quarantines.snapshot(now))
+                link.notify(self.permits.snapshot(now))
                 if self.controller is not None:
-                    link.notify(self.permits.snapshot(now))
                     link.notify(self.controller.snapshot(now))
                 return messages.Ack()
             case fleet.Registrations():
