Leave targets alone for their pause on the product's own gateway

Change: the dispatcher keeps the pauses that targets ask for, read by targets/retry_after as on the ingress. A paused target gets nothing; a request whose targets all pause beyond its deadline is refused at once with the end of the pause.

--- a/src/monsoonhinge/gateway/attempts.py
+++ b/src/monsoonhinge/gateway/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 
 from monsoonhinge.gateway import demand
@@ -11,6 +12,7 @@
 from monsoonhinge.gateway import metrics
 from monsoonhinge.gateway import refusal
 from monsoonhinge.gateway import retry
+from monsoonhinge.targets import retry_after
 
 # With one of these statuses an engine has not run the request; with 404 it has
 # unloaded the model since its last announcement. A plain service may have run
@@ -186,6 +188,12 @@
                 self.record_failure(slot, "answer_lost")
             failure = retry.Failure(retryable=retryable, sent=True)
             return failure, answer_lost_refusal(error)
+        pause_s = retry_after.requested_pause_s(
+            response.status, response.headers
+        )
+        if pause_s > 0.0:
+            in_flight = slot.in_flight
+            self.dispatcher.pause(in_flight.target, in_flight.name, pause_s)
         if (
             response.status in _NOT_RUN_STATUSES
             and not job.requirements.service
@@ -200,7 +208,7 @@
                 "the engine refused the request before running it",
                 status=503,
                 code="engine_busy",
-                retry_after_s=1,
+                retry_after_s=max(1, math.ceil(pause_s)),
                 step="forward",
                 peer=slot.address,
             )
--- a/src/monsoonhinge/gateway/dispatch.py
+++ b/src/monsoonhinge/gateway/dispatch.py
@@ -6,12 +6,14 @@
 import logging
 
 from monsoonhinge.gateway import metrics
+from monsoonhinge.gateway import pauses
 from monsoonhinge.gateway import queue
 from monsoonhinge.gateway import readiness
 from monsoonhinge.gateway import refusal
 from monsoonhinge.gateway import retry
 from monsoonhinge.gateway import routing
 from monsoonhinge.gateway import token_accounts
+from monsoonhinge.gateway import wait_refusals
 
 # A call waits at most this long for the first target that offers its service.
 _NO_TARGET_WAIT_S = 5.0
@@ -93,6 +95,7 @@
         router: Selects targets.
         accounts: Token accounts; None if budgets are not enforced.
         ejections: Targets that are avoided after failures.
+        pauses: Targets that asked to get no requests for a while.
         readiness: Estimates of when models become ready.
         on_demand_changed: Called with the key of each resource for which the
             number of waiting requests changed.
@@ -111,6 +114,7 @@
         self.router = router
         self.accounts = accounts
         self.ejections = retry.Ejections()
+        self.pauses = pauses.TargetPauses()
         self.readiness = readiness.ReadinessEstimates()
         self.on_demand_changed: Callable[[str], None] = lambda resource: None
         self.on_tokens_needed: Callable[[str], None] = lambda team: None
@@ -143,6 +147,9 @@
             late = self.readiness.refusal(resource, queue_deadline, now)
             if late is not None:
                 raise late
+        paused = self._pause_refusal(job, now)
+        if paused is not None:
+            raise paused
         entry = queue.QueuedRequest(
             resource=resource,
             team=job.team,
@@ -153,13 +160,7 @@
             weight=job.weight,
         )
         if not self.queue.push(entry):
-            raise refusal.Refusal(
-                "too many requests wait",
-                status=503,
-                code="queue_full",
-                retry_after_s=1,
-                step="queue",
-            )
+            raise wait_refusals.queue_full()
         waiter = _Waiter(job, loop.create_future())
         self._waiters[entry] = waiter
         self._dispatch_ready(resource)
@@ -180,6 +181,19 @@
         self.router.end(slot.in_flight, now)
         self.capacity_changed(slot.in_flight.name)
 
+    def pause(self, target: str, name: str, pause_s: float) -> None:
+        """Sends no requests to a target that asked for a pause.
+
+        Args:
+            target: The target.
+            name: Model or service of the request that it answered.
+            pause_s: Length of the pause in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + pause_s
+        self.pauses.record(target, until)
+        loop.call_at(until, self.capacity_changed, name)
+
     def settle(self, job: Job, used: int | None) -> None:
         """Settles the charge of a request.
 
@@ -281,23 +295,33 @@
         )
 
     def _has_capacity(self, requirements: routing.Requirements) -> bool:
-        now = asyncio.get_running_loop().time()
-        return self.router.has_capacity(
-            requirements,
-            exclude=lambda names: self.ejections.excluded(names, now),
-        )
+        return self.router.has_capacity(requirements, exclude=self._excluded)
 
     def _choose_target(
         self,
         requirements: routing.Requirements,
         avoided_targets: Collection[str],
     ) -> str:
-        now = asyncio.get_running_loop().time()
-
-        def exclude(names: Collection[str]) -> set[str]:
-            return self.ejections.excluded(names, now).union(avoided_targets)
+        return self.router.choose(
+            requirements,
+            exclude=lambda names: self._excluded(names).union(avoided_targets),
+        )
 
-        return self.router.choose(requirements, exclude=exclude)
+    def _excluded(self, names: Collection[str]) -> set[str]:
+        """Returns the targets that must get no requests now."""
+        now = asyncio.get_running_loop().time()
+        paused = self.pauses.paused(names, now)
+        sound = [name for name in names if name not in paused]
+        return paused | self.ejections.excluded(sound, now)
+
+    def _pause_refusal(self, job: Job, now: float) -> refusal.Refusal | None:
+        """Returns the refusal of a request whose targets all pause too long."""
+        ends_at = self.pauses.earliest_end(
+            self.router.targets_of(job.requirements)
+        )
+        if ends_at < job.deadline:
+            return None
+        return wait_refusals.paused(ends_at - now)
 
     def _charge(self, entry: queue.QueuedRequest) -> bool:
         job = self._waiters[entry].job
@@ -350,34 +374,9 @@
         name = job.requirements.name
         has_target = self.router.has_target(job.requirements)
         if has_target and job.team in blocked and self.accounts is not None:
-            return rate_limited(
+            return wait_refusals.rate_limited(
                 self.accounts.account(job.team).retry_after_s(now)
             )
         if job.requirements.service and not has_target:
-            return refusal.Refusal(
-                f"no target runs service {name!r} at the moment",
-                status=503,
-                code="no_target",
-                retry_after_s=1,
-                step="route",
-            )
-        return refusal.Refusal(
-            f"{name!r} had no capacity in time"
-            if has_target
-            else f"no replica of {name!r} became ready in time",
-            status=504,
-            code="deadline_exceeded",
-            retry_after_s=1,
-            step="wait for replica",
-        )
-
-
-def rate_limited(retry_after_s: float) -> refusal.Refusal:
-    """Returns the refusal of a team that has no tokens left."""
-    return refusal.Refusal(
-        "the team's token rate is used up",
-        status=429,
-        code="rate_limited",
-        retry_after_s=retry_after_s,
-        step="grant",
-    )
+            return wait_refusals.no_target(name)
+        return wait_refusals.not_in_time(name, has_target=has_target)
--- a/src/monsoonhinge/gateway/grants.py
+++ b/src/monsoonhinge/gateway/grants.py
@@ -6,6 +6,7 @@
 from monsoonhinge.gateway import dispatch
 from monsoonhinge.gateway import schedulers
 from monsoonhinge.gateway import token_accounts
+from monsoonhinge.gateway import wait_refusals
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 
@@ -106,7 +107,7 @@
                 if holder_timed_out and not account.last_refill_answered:
                     self.dispatcher.refuse_blocked(
                         team,
-                        dispatch.rate_limited(
+                        wait_refusals.rate_limited(
                             account.retry_after_s(loop.time())
                         ),
                     )
--- a/src/monsoonhinge/gateway/routing.py
+++ b/src/monsoonhinge/gateway/routing.py
@@ -236,6 +236,10 @@
             for target, capacity in candidates
         )
 
+    def targets_of(self, requirements: Requirements) -> list[str]:
+        """Returns the targets that offer what a request requires."""
+        return [target.name for target, _ in self._candidates(requirements)]
+
     def has_target(self, requirements: Requirements) -> bool:
         """Returns whether any target offers what a request requires."""
         return any(
--- a/src/monsoonhinge/gateway/target_table.py
+++ b/src/monsoonhinge/gateway/target_table.py
@@ -41,6 +41,7 @@
                 continue
             if known and known.state.incarnation != state.incarnation:
                 self._dispatcher.ejections.forget(state.target)
+                self._dispatcher.pauses.forget(state.target)
             self._make_routable(state, now)
 
     def apply_directory_update(
