Stop to accept connections only as a gateway ends

Change: the end of the drain is as before; the listener closes in stop(), which then leaves the last connections their time.

--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -170,7 +170,8 @@
         """Waits until the load balancer has reacted and all requests ended."""
         loop = asyncio.get_running_loop()
         notice_until = loop.time() + _DRAIN_DETECTION_S
-        end_at = loop.time() + self.config.stop_grace_s - _STOP_MARGIN_S
+        end_at = loop.time() + self.config.stop_grace_s
+        end_at -= _STOP_MARGIN_S + _LAST_REQUESTS_S
         loop.call_at(
             end_at - _REFUSE_WAITING_BEFORE_END_S, self._refuse_waiting
         )
@@ -180,10 +181,6 @@
         # them are refused immediately.
         if self.handler is not None:
             self.handler.refuse_new_requests = True
-            await self.handler.wait_until_idle(end_at - _LAST_REQUESTS_S)
-        await self._listeners.stop_accepting()
-        await asyncio.sleep(_LAST_REQUESTS_S)
-        if self.handler is not None:
             await self.handler.wait_until_idle(end_at)
 
     def reload(self, config: settings.Ingress) -> None:
@@ -199,7 +196,14 @@
             )
 
     async def stop(self) -> None:
-        """Cancels all tasks and closes all connections and listeners."""
+        """Cancels all tasks and closes all connections and listeners.
+
+        In a planned stop, the requests of the connections that were accepted
+        last are answered first.
+        """
+        if self.draining:
+            await self._listeners.stop_accepting()
+            await asyncio.sleep(_LAST_REQUESTS_S)
         for task in self._tasks:
             task.cancel()
         await self._listeners.close()
