Resume a load with the load time of its own version

A load that goes on after its target was silent was counted again with the load time of the model's current version, and the store learned from the difference.

Change: the version of the decision is used.

Evidence: test_resumed_load_has_the_load_time_of_its_own_version failed before (9.0 s for a load of 3.0 s).

--- a/src/monsoonhinge/scheduler/planner.py
+++ b/src/monsoonhinge/scheduler/planner.py
@@ -87,13 +87,11 @@
     def _resume(self, replica: replica_ledger.Replica, now: float) -> None:
         """Counts a load in progress again after its target has returned."""
         if replica.replica_id not in self.store.active_loads:
-            model = self._view.models.get(replica.change.model)
-            version = model.version() if model else None
-            self.store.restore(
-                replica.replica_id,
-                nominal_s=version.load_s if version else 0.0,
-                now=now,
-            )
+            change = replica.change
+            model = self._view.models.get(change.model)
+            version = model.version(change.model_version) if model else None
+            load_s = version.load_s if version else 0.0
+            self.store.restore(replica.replica_id, nominal_s=load_s, now=now)
 
     def settle(
         self, changes: Iterable[commands.ReplicaChange], now: float
