Share the restart of members and deployments without rates among tests

Cause: three test files of the platform path repeated the same context manager, two the same restart. Change: both stand in test_path.

--- a/tests/platform/test_leaving_targets.py
+++ b/tests/platform/test_leaving_targets.py
@@ -1,13 +1,11 @@
 """Tests of targets that say in a response that they are leaving."""
 
 import asyncio
-from collections.abc import AsyncIterator
 import contextlib
 import pathlib
 
 from aiohttp import web
 
-from monsoonhinge.platform import __main__ as programs
 from monsoonhinge.platform import engines
 from tests.platform import test_path
 
@@ -59,21 +57,15 @@
         ]
 
 
-@contextlib.asynccontextmanager
-async def _running(path: pathlib.Path) -> AsyncIterator[Deployment]:
-    deployment = Deployment(path)
-    async with test_path.run_deployment(deployment):
-        await deployment.remove_rates()
-        yield deployment
-
-
 def test_target_that_says_it_is_leaving_gets_no_further_requests(
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against requests to a target that is about to go."""
 
     async def run() -> None:
-        async with _running(tmp_path) as deployment:
+        async with test_path.run_without_rates(
+            Deployment(tmp_path)
+        ) as deployment:
             await deployment.run_on_leaving(deployment.ingress_port)
             runs = len(deployment.leaving.runs)
             statuses = await deployment.send_to(deployment.ingress_port, "a")
@@ -89,7 +81,9 @@
     """Guards against a notice that only the gateway knows that received it."""
 
     async def run() -> None:
-        async with _running(tmp_path) as deployment:
+        async with test_path.run_without_rates(
+            Deployment(tmp_path)
+        ) as deployment:
             await deployment.run_on_leaving(deployment.ingress_port)
             runs = len(deployment.leaving.runs)
             target = deployment.second_gateway.targets.by_name["s1"]
@@ -115,24 +109,16 @@
     """Guards against a leaving target that is used after a restart."""
 
     async def run() -> None:
-        async with _running(tmp_path) as deployment:
+        async with test_path.run_without_rates(
+            Deployment(tmp_path)
+        ) as deployment:
             await deployment.run_on_leaving(deployment.ingress_port)
 
             async def is_known() -> bool:
                 return all(deployment.members_know())
 
             await test_path.wait_until(is_known)
-            configs = [member.config for member in deployment.members]
-            for member in deployment.members:
-                await member.stop()
-            deployment.members = [
-                programs.PlatformControl(
-                    config.model_copy(update={"first_start": False})
-                )
-                for config in configs
-            ]
-            for member in deployment.members:
-                await member.start()
+            await deployment.restart_members()
             await test_path.wait_until(is_known)
 
     asyncio.run(run())
@@ -142,7 +128,9 @@
     """Guards against blaming a target for what its predecessor said."""
 
     async def run() -> None:
-        async with _running(tmp_path) as deployment:
+        async with test_path.run_without_rates(
+            Deployment(tmp_path)
+        ) as deployment:
             await deployment.run_on_leaving(deployment.ingress_port)
             deployment.leaving.is_leaving = False
             await deployment.announce(deployment.leaving, born=2000)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -6,6 +6,7 @@
 import functools
 import json
 import pathlib
+import typing
 from typing import Any
 
 import aiohttp
@@ -173,6 +174,20 @@
         for server in self.servers:
             await server.stop()
 
+    async def restart_members(self) -> None:
+        """Stops all members, then starts them again with their disks."""
+        configs = [member.config for member in self.members]
+        for member in self.members:
+            await member.stop()
+        self.members = [
+            programs.PlatformControl(
+                config.model_copy(update={"first_start": False})
+            )
+            for config in configs
+        ]
+        for member in self.members:
+            await member.start()
+
     async def call_control(
         self, method: str, path: str, document: Any, *, member: int = 0
     ) -> int:
@@ -315,6 +330,17 @@
         await deployment.stop()
 
 
+_D = typing.TypeVar("_D", bound=Deployment)
+
+
+@contextlib.asynccontextmanager
+async def run_without_rates(deployment: _D) -> AsyncIterator[_D]:
+    """Runs a deployment in which no request waits for tokens."""
+    async with run_deployment(deployment):
+        await deployment.remove_rates()
+        yield deployment
+
+
 _ALL_EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(6))
 
 
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -10,21 +10,6 @@
 from tests.platform import test_translation
 
 
-async def _restart_members(deployment: test_path.Deployment) -> None:
-    """Stops all members, then starts them with their disks."""
-    configs = [member.config for member in deployment.members]
-    for member in deployment.members:
-        await member.stop()
-    deployment.members = [
-        programs.PlatformControl(
-            config.model_copy(update={"first_start": False})
-        )
-        for config in configs
-    ]
-    for member in deployment.members:
-        await member.start()
-
-
 async def _acknowledges_deregistration(
     deployment: test_path.Deployment,
 ) -> bool:
@@ -51,7 +36,7 @@
                 return "s1" not in deployment.gateway.targets.by_name
 
             await test_path.wait_until(gateway_knows)
-            await _restart_members(deployment)
+            await deployment.restart_members()
 
             async def members_know() -> bool:
                 entries = [
--- a/tests/platform/test_target_pauses.py
+++ b/tests/platform/test_target_pauses.py
@@ -1,8 +1,6 @@
 """Tests of targets that ask for a pause in which they get no requests."""
 
 import asyncio
-from collections.abc import AsyncIterator
-import contextlib
 import pathlib
 
 from aiohttp import web
@@ -51,21 +49,15 @@
         self.servers = [self.pausing, self.other]
 
 
-@contextlib.asynccontextmanager
-async def _running(path: pathlib.Path) -> AsyncIterator[Deployment]:
-    deployment = Deployment(path)
-    async with test_path.run_deployment(deployment):
-        await deployment.remove_rates()
-        yield deployment
-
-
 def test_target_gets_no_requests_during_the_pause_it_asked_for(
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against a target that is hammered while it is in need."""
 
     async def run() -> None:
-        async with _running(tmp_path) as deployment:
+        async with test_path.run_without_rates(
+            Deployment(tmp_path)
+        ) as deployment:
             deployment.pausing.retry_after = str(_PAUSE_S)
             for number in range(30):
                 status, _, _ = await deployment.send_request(f"r{number}")
@@ -97,7 +89,9 @@
     """Guards against a request held to its end, and an untrue Retry-After."""
 
     async def run() -> None:
-        async with _running(tmp_path) as deployment:
+        async with test_path.run_without_rates(
+            Deployment(tmp_path)
+        ) as deployment:
             for server in (deployment.pausing, deployment.other):
                 server.retry_after = "20"
             loop = asyncio.get_running_loop()
