Count adapters and models whose load is under way after a report

Cause: found by a simulation of orders that are lost, carried out without a response or carried out late (tests/fleet/test_random_orders.py). While the state of an engine is read again, loads of adapters wait for their turn. A report that did not list them freed their places once they had waited for longer than a report may be old (1 s); then the engine accepted them, and one adapter more was ordered than it has room for: LIMIT.

Change: an engine knows the adapters in flight, and a report keeps them, as it keeps the model of a swap under way.

Evidence: test_report_keeps_the_adapter_of_a_load_that_is_under_way and test_report_keeps_the_model_of_a_swap_that_is_under_way failed before.

--- a/src/monsoonhinge/fleet/adapter_loader.py
+++ b/src/monsoonhinge/fleet/adapter_loader.py
@@ -32,6 +32,7 @@
     ) -> None:
         """Reserves memory and a slot, so that later plans count them."""
         engine.replicas[load.model].adapters[load.adapter] = now
+        engine.adapters_in_flight.add((load.model, load.adapter))
         self.in_flight.add((load.target, load.model, load.adapter))
 
     def forget(self, target: str) -> None:
@@ -64,6 +65,7 @@
         finally:
             if not done and load.model in engine.replicas:
                 engine.replicas[load.model].adapters.pop(load.adapter, None)
+            engine.adapters_in_flight.discard((load.model, load.adapter))
             self.in_flight.discard((load.target, load.model, load.adapter))
             self._on_change()
 
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -73,6 +73,8 @@
         retry_at: Time before which no swap is planned.
         running_by_model: Running requests of all gateways, by model.
         adapters_in_use: Adapters with running requests, as (model, adapter).
+        adapters_in_flight: Adapters whose load is planned or ordered, as
+            (model, adapter). Their places stay counted.
         unsettled: Load orders without a response. Their memory stays counted.
         unloaded_at: Time of the last unload, by model.
         in_memory: Models with a cached copy in host memory.
@@ -98,6 +100,7 @@
         self.retry_at = 0.0
         self.running_by_model: dict[str, int] = {}
         self.adapters_in_use: set[tuple[str, str]] = set()
+        self.adapters_in_flight: set[tuple[str, str]] = set()
         self.unsettled = unsettled_orders.UnsettledOrders()
         self.unloaded_at: dict[str, float] = {}
         self.in_memory = set(registration.in_memory)
@@ -196,16 +199,21 @@
                 del self.replicas[name]
 
     def apply_report(self, report: engine_client.Report, now: float) -> None:
-        """Applies a report that was fetched while no order was pending."""
+        """Applies a report.
+
+        It lists nothing that was planned, but not ordered, when it was made.
+        """
         self.order_count = report.order_count
         self._free(self.unsettled.pop_void(report.order_count))
         self.busy_while_unknown = False
         self.in_memory = set(report.in_memory)
         self.on_disk = set(report.on_disk)
-        for name in list(self.replicas):
+        for name, replica in list(self.replicas.items()):
+            planned = self.swapping and replica.state == LOADING
             if (
                 name not in report.models
                 and not report.busy
+                and not planned
                 and not self.unsettled.has_model(name)
             ):
                 del self.replicas[name]
@@ -219,6 +227,7 @@
             for adapter, last_used_at in list(replica.adapters.items()):
                 if (
                     adapter not in adapters
+                    and (name, adapter) not in self.adapters_in_flight
                     and (name, adapter) not in self.unsettled
                     and now - last_used_at > _MAX_REPORT_AGE_S
                 ):
