Settle a load order that is answered as holding already

A load that was carried out without a response, and whose repetition was answered as holding already, stayed in the list of orders without a response. The next accepted order made it void and freed the place of an adapter that is loaded.

Change: the answer settles the order.

Evidence: test_order_that_holds_already_is_not_void_later failed before.

--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -189,6 +189,10 @@
                 # as an accepted order.
                 if adapter and not load:
                     engine.accept_order(model, adapter, expected + 1)
+                elif load:
+                    # An earlier attempt without a response has been carried
+                    # out, and is not void once another order is accepted.
+                    engine.unsettled.discard((model, adapter))
                 return Outcome.APPLIED
             case engine_client.OrderResponse.FENCED:
                 raise LeaseLostError(
