Read the state of an engine only between two orders

The state of an engine was read while another order to it was being repeated. A report settled that order as void, and its last attempt then counted as refused, though the adapter was loaded: its place was given to another one.

Change: reading the state takes its turn among the orders to that engine.

Evidence: test_state_is_not_read_while_an_order_is_under_way failed before.

--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -70,12 +70,17 @@
 
         An order to load a model that is already loaded makes the engine refuse
         delayed orders with lower fencing tokens. After that, two reports with
-        the same order count and no order in progress establish the state.
+        the same order count and no order in progress establish the state. This
+        member sends no order meanwhile.
 
         Raises:
             engine_client.NoResponseError: The engine does not respond.
             LeaseLostError: Another member sends orders now.
         """
+        async with self._lock:
+            return await self._synchronize()
+
+    async def _synchronize(self) -> bool:
         first = await self.fetch_report()
         self.engine.busy_while_unknown = first.busy
         if first.busy:
--- a/tests/fleet/test_engine.py
+++ b/tests/fleet/test_engine.py
@@ -194,3 +194,71 @@
     assert client.orders[0].model == "m1"
     assert engine.order_count == 3
     assert set(engine.replicas) == {"m1"}
+
+
+def test_report_keeps_the_adapter_of_a_load_that_is_under_way() -> None:
+    """Guards against one adapter more than an engine has room for.
+
+    A load waited for its turn for longer than a report may be old. A report
+    without its adapter freed the place, and then the engine accepted it.
+    """
+    engine = world.engine(models=("m1",))
+    engine.replicas["m1"].adapters["a1"] = 0.0
+    engine.adapters_in_flight.add(("m1", "a1"))
+    engine.apply_report(world.report({"m1": []}), 100.0)
+    assert engine.adapter_count() == 1
+    engine.adapters_in_flight.clear()
+    engine.apply_report(world.report({"m1": []}), 101.0)
+    assert engine.adapter_count() == 0
+
+
+def test_report_keeps_the_model_of_a_swap_that_is_under_way() -> None:
+    """Guards against memory that is free between two orders of a swap."""
+    engine = world.engine(models=("m1",))
+    engine.swapping = True
+    engine.begin_load("m2", ready_at=10.0, now=0.0)
+    engine.apply_report(world.report({"m1": []}), 1.0)
+    assert "m2" in engine.replicas
+
+
+def test_order_that_holds_already_is_not_void_later() -> None:
+    """Guards against a loaded adapter whose place counts as free.
+
+    Its first order was carried out without a response, the second one was
+    answered as holding already.
+    """
+    client = _FakeClient(
+        None,
+        engine_client.OrderResponse.APPLIED,
+        engine_client.OrderResponse.STARTED,
+    )
+    engine = world.engine(models=("m1",))
+    engine.replicas["m1"].adapters.update(a1=0.0, a2=0.0)
+    channel = _channel(engine, client)
+
+    async def run() -> None:
+        await channel.execute(load=True, model="m1", adapter="a1")
+        await channel.execute(load=True, model="m1", adapter="a2")
+
+    asyncio.run(run())
+    assert engine.adapter_count() == 2
+
+
+def test_state_is_not_read_while_an_order_is_under_way() -> None:
+    """Guards against a report that settles an order that is still sent."""
+    client = _FakeClient(
+        engine_client.OrderResponse.APPLIED,
+        reports=[world.report({"m1": []}, order_count=3)],
+    )
+    engine = world.engine(models=("m1",))
+    channel = _channel(engine, client)
+
+    async def run() -> None:
+        async with channel._lock:
+            reading = asyncio.create_task(channel.synchronize())
+            await asyncio.sleep(0.4)
+            assert engine.order_count == 0
+        assert await reading
+        assert engine.order_count == 3
+
+    asyncio.run(run())
