Test that models of leaving engines are loaded elsewhere

It was the gateways that kept sending requests there, so that none waited and no need was reported; since they send it nothing after its notice, the placement loads the model elsewhere while the engine is still there. The test shows the placement's side; that of the gateways is in tests/platform/test_leaving_targets.py. No change of code.

--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -41,6 +41,10 @@
     async def close(self) -> None:
         pass
 
+    def loads(self) -> set[str]:
+        """Returns the targets that were ordered to load a model."""
+        return {target for target, order in self.orders if order.load}
+
 
 def _controller(
     client: _Engines, tracker: demand.DemandTracker
@@ -216,3 +220,52 @@
     """Guards against waiting for an engine that is gone."""
     loads = _play_silence(_SlowReporters(replies=False))
     assert len(set(loads)) >= 2
+
+
+def test_model_of_a_leaving_engine_is_loaded_elsewhere_before_it_is_gone() -> (
+    None
+):
+    """Guards against requests that wait until a leaving engine has left."""
+    client = _Engines()
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        registry = target_registry.Registry(silent_after_s=60.0)
+        for number, models in enumerate(((_MODEL,), ())):
+            registration = world.registration(
+                f"t{number}", address=f"10.0.0.{number}:80", models=models
+            )
+            registry.record_announcement(registration, loop.time())
+        tracker = demand.DemandTracker()
+        placer = controller.PlacementController(
+            fencing=7,
+            holder="h",
+            registry=registry,
+            demand_tracker=tracker,
+            client=client,
+            loads_window_s=5.0,
+            lease_held=lambda: True,
+            publish=lambda message: None,
+            on_lease_lost=lambda: None,
+        )
+        limits = world.LIMITS.model_copy(
+            update={"models": [world.model(_MODEL)]}
+        )
+        service = ingress.IngressService(name=world.SERVICE, engine=limits)
+        view = config_view.View(
+            version=1, objects={f"ingress_service/{world.SERVICE}": service}
+        )
+        placer.reconcile(view, loop.time())
+        await asyncio.sleep(0.4)
+        tracker.update(_demand(_MODEL), loop.time())
+        placer.reconcile(view, loop.time())
+        await asyncio.sleep(0.05)
+        # The engine with the model is fenced by an order to load it.
+        assert client.loads() == {"t0"}
+        registry.record_leaving("t0", loop.time())
+        placer.reconcile(view, loop.time())
+        await asyncio.sleep(0.05)
+        placer.stop()
+
+    asyncio.run(run())
+    assert client.loads() == {"t0", "t1"}
