Load models without a copy on a fleet of one engine

Change: a single engine carries out both kinds of load.

Evidence: test_model_of_a_leaving_engine_is_loaded_elsewhere_before_it_is_gone failed and passes now, with all of tests/fleet. Nothing changes with two engines or more.

--- a/src/monsoonhinge/fleet/store_policy.py
+++ b/src/monsoonhinge/fleet/store_policy.py
@@ -124,8 +124,11 @@
         """Returns how many free engines are left for loads from copies.
 
         These are the engines that such loads are expected to occupy, but never
-        more than half, so that models without a copy are loaded at all.
+        more than half, so that models without a copy are loaded at all. A
+        single engine carries out both.
         """
+        if len(self._fleet) <= 1:
+            return 0
         rate = sum(
             need.rate
             for model, need in self._needs.items()
