--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -207,7 +207,7 @@
         if left_s <= 0:
             raise self._acquisition.wait_refusal()
         timeout_s = None
-        if self._attempts_left():
+        if self._attempts_left(under_way=1):
             timeout_s = self.limits.attempt_timeout_s
         return await attempts.send(
             context=self._context,
@@ -216,7 +216,7 @@
             target=target,
             left_s=left_s,
             timeout_s=timeout_s,
-            reserve_attempt=self._take_retry,
+            reserve_attempt=lambda: self._take_retry(under_way=1),
             last_event_id=self.relay.last_event_id,
         )
 
@@ -254,10 +254,16 @@
         if self._requirements.model:
             self._context.demand_changed()
 
-    def _attempts_left(self) -> bool:
+    def _attempts_left(self, *, under_way: int = 0) -> bool:
+        """Returns whether there is another attempt.
+
+        Args:
+            under_way: Attempts that are not counted yet.
+        """
+        attempts = self.attempts + under_way
         return (
             self.admitted.retryable
-            and self.attempts < self.admitted.route.max_attempts
+            and attempts < self.admitted.route.max_attempts
         )
 
     def _stall_limits(self) -> relay.StallLimits | None:
@@ -273,10 +279,10 @@
         """Returns whether there is another attempt after a lost response."""
         return isinstance(error, stall.Stalled) or self._take_retry()
 
-    def _take_retry(self) -> bool:
+    def _take_retry(self, *, under_way: int = 0) -> bool:
         now = self._loop.time()
         return (
-            self._attempts_left()
+            self._attempts_left(under_way=under_way)
             and now < self.limits.deadline
             and self._context.retry_budget.take(self._requirements.service, now)
         )
