Check only connections that were used before for unrequested bytes

Cause: found by reading. The connector closed a connection on which bytes had arrived and made another one, also if it was new: a target that speaks first could have got connections without end.

Change: a connection that has carried no response yet is used as it is, and its answer is judged as before.

Evidence: test_target_that_speaks_first_gets_one_connection passes; it passed before as well, since the bytes came after the check there, so that the fault is not shown.

--- a/src/monsoonhinge/targets/bounded_http.py
+++ b/src/monsoonhinge/targets/bounded_http.py
@@ -17,14 +17,13 @@
 
 import aiohttp
 
+from monsoonhinge.targets import connections
+
 # Responses with status 1xx that may precede a final response.
 _MAX_INTERIM_RESPONSES = 16
 
 _REQUEST_ID = "X-Request-Id"
 
-# Attribute of a connection that has carried a response before.
-_REUSED = "monsoonhinge_reused"
-
 
 class ResetResponse(aiohttp.ClientPayloadError):
     """The connection was reset before a body that ends with it was whole."""
@@ -61,8 +60,8 @@
         self.transport = connection.transport
         protocol: Any = connection.protocol
         self._watch_connection(protocol)
-        reused = getattr(protocol, _REUSED, False)
-        setattr(protocol, _REUSED, True)
+        reused = connections.is_reused(protocol)
+        connections.mark_reused(protocol)
         read = protocol.read
         left = _MAX_INTERIM_RESPONSES + 1
 
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -167,6 +167,30 @@
         assert len(gateway.targets[0].received) == 3
 
 
+async def test_target_that_speaks_first_gets_one_connection() -> None:
+    """Guards against connections without end to a target that sends garbage."""
+    connections = 0
+
+    async def greet(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal connections
+        connections += 1
+        writer.write(b"220 welcome\r\n")
+        await writer.drain()
+
+    server = await asyncio.start_server(greet, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with standins.run_gateway(standins.respond_ok) as gateway:
+        gateway.announce(gateway.targets[0], address=f"127.0.0.1:{port}")
+        outcome = await gateway.post_refused(
+            "/services/ledger/refunds/1", headers=_IDEMPOTENCY_KEY
+        )
+        assert outcome[:2] == (503, "answer_lost")
+    server.close()
+    assert connections == 1
+
+
 @pytest.mark.parametrize("kind", ["length", "chunks", "reset"])
 async def test_truncated_answer_is_never_whole(kind: str) -> None:
     """Guards against truncated responses relayed as complete (P8)."""
