--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -183,9 +183,10 @@
     port = server.sockets[0].getsockname()[1]
     async with standins.run_gateway(standins.respond_ok) as gateway:
         gateway.announce(gateway.targets[0], address=f"127.0.0.1:{port}")
-        outcome = await gateway.post_refused(
-            "/services/ledger/refunds/1", headers=_IDEMPOTENCY_KEY
-        )
+        async with asyncio.timeout(5.0):
+            outcome = await gateway.post_refused(
+                "/services/ledger/refunds/1", headers=_IDEMPOTENCY_KEY
+            )
         assert outcome[:2] == (503, "answer_lost")
     server.close()
     assert connections == 1
