Count the engines reserved for loads from copies once a step

Cause: found by reading the diff: the reserve was counted again for each model without a copy, a scan of all needs each time.

Change: once a planning step. Nothing else changes: the reserve does not depend on what this rule plans.

Evidence: tests of placement pass (28).

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -142,8 +142,9 @@
             and not self.replica_counts[model]
         ]
         candidates.sort(key=lambda item: (-item[0], item[1]))
+        reserved = self.store.reserved_engines(self.replica_counts)
         for value, model, need in candidates:
-            obstacle = self.store.uncached_obstacle(value, self.replica_counts)
+            obstacle = self.store.uncached_obstacle(value, reserved)
             if obstacle is None:
                 self._plan_load(model, need, "uncopied")
             elif need.waiting:
--- a/src/monsoonhinge/fleet/store_policy.py
+++ b/src/monsoonhinge/fleet/store_policy.py
@@ -76,20 +76,39 @@
         reserve = 1 if self._needs else 0
         return self.active_loads < self._max_concurrency - reserve
 
+    def reserved_engines(self, replica_counts: Mapping[str, int]) -> int:
+        """Returns how many free engines are left for loads from copies.
+
+        These are the engines that such loads are expected to occupy, but never
+        more than half, so that models without a copy are loaded at all. A
+        single engine carries out both.
+        """
+        if len(self._fleet) <= 1:
+            return 0
+        rate = sum(
+            need.rate
+            for model, need in self._needs.items()
+            if model in self._cached
+            and model not in self._desired
+            and not replica_counts[model]
+        )
+        expected = math.ceil(rate * _DISK_SWAP_S)
+        return max(1, min(expected, math.ceil(len(self._fleet) / 2)))
+
     def uncached_obstacle(
-        self, value: float, replica_counts: Mapping[str, int]
+        self, value: float, reserved_engines: int
     ) -> placement_plan.Obstacle | None:
         """Returns why a model without a copy is not loaded now, or None.
 
         Args:
             value: Requests that the load is expected to serve.
-            replica_counts: Replicas by model, with those of this plan.
+            reserved_engines: Free engines that are left for loads from copies.
         """
         if value < _MIN_UNCACHED_VALUE:
             return placement_plan.Obstacle.TOO_LATE
         if self.active_loads >= self._max_concurrency:
             return placement_plan.Obstacle.STORE
-        if len(self._available) <= self._reserved_engines(replica_counts):
+        if len(self._available) <= reserved_engines:
             return placement_plan.Obstacle.RESERVED
         return None
 
@@ -120,25 +139,6 @@
             1, math.ceil(rare_rate * _DISK_SWAP_S)
         )
 
-    def _reserved_engines(self, replica_counts: Mapping[str, int]) -> int:
-        """Returns how many free engines are left for loads from copies.
-
-        These are the engines that such loads are expected to occupy, but never
-        more than half, so that models without a copy are loaded at all. A
-        single engine carries out both.
-        """
-        if len(self._fleet) <= 1:
-            return 0
-        rate = sum(
-            need.rate
-            for model, need in self._needs.items()
-            if model in self._cached
-            and model not in self._desired
-            and not replica_counts[model]
-        )
-        expected = math.ceil(rate * _DISK_SWAP_S)
-        return max(1, min(expected, math.ceil(len(self._fleet) / 2)))
-
     def _max_loads(self, model: str) -> int:
         """Returns how many store loads may be in progress with this one.
 
