Keep the store loads of small fleets as they were

With five engines, loads of models without a copy, preloads among them, could take four engines at once, and none began unless four were free.

--- a/src/monsoonhinge/fleet/store_policy.py
+++ b/src/monsoonhinge/fleet/store_policy.py
@@ -18,8 +18,8 @@
 # many engines are kept free of store loads.
 _DISK_SWAP_S = 1.5
 
-# Concurrent store loads, of models that have a cached copy or are busy, as a
-# fraction of the engines.
+# Concurrent store loads as a fraction of the engines. On a small fleet, more
+# would leave too few engines for loads from cached copies.
 _STORE_LOAD_FRACTION = 0.4
 
 # Requests that a load of a model without a cached copy has to serve, at least.
@@ -103,7 +103,10 @@
         Args:
             value: Requests that the load is expected to serve.
             reserved_engines: Free engines that are left for loads from copies.
+                The first store load leaves only one.
         """
+        if not self.active_loads:
+            reserved_engines = min(1, reserved_engines)
         if value < _MIN_UNCACHED_VALUE:
             return placement_plan.Obstacle.TOO_LATE
         if self.active_loads >= self._max_concurrency:
@@ -146,8 +149,6 @@
         only the store has.
         """
         limit = self._max_concurrency
-        if model not in self._cached and model not in self._desired:
-            return limit
         if model in self._cached:
             limit -= 1
         engine_limit = round(_STORE_LOAD_FRACTION * len(self._fleet))
--- a/tests/fleet/test_large_fleet.py
+++ b/tests/fleet/test_large_fleet.py
@@ -145,6 +145,23 @@
     assert plan.obstacles == {"m19": placement_plan.Obstacle.RESERVED}
 
 
+def test_first_store_load_needs_only_one_other_free_engine() -> None:
+    """Guards against models without a copy that wait for a calm fleet.
+
+    The engines that loads from copies were expected to occupy were kept free
+    before any store load, which a small fleet under load never had.
+    """
+    fleet = _small_fleet(5)
+    for engine in fleet:
+        engine.on_disk.update(("m15", "m16", "m17"))
+    for engine in fleet[2:]:
+        engine.swapping = True
+    needs = {name: demand.Need(rate=0.7) for name in ("m15", "m16", "m17")}
+    needs["m18"] = demand.Need(rate=0.05, waiting=1, latest_queue_deadline=19.0)
+    plan = _plan(fleet, needs)
+    assert [swap.model for swap in plan.swaps if swap.from_store] == ["m18"]
+
+
 def test_model_that_is_not_loaded_has_an_obstacle() -> None:
     """Guards against requests that wait while no line says why."""
     fleet = _small_fleet(6)
