--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -183,6 +184,8 @@
         return f"{self._network}.{self._next_host}"
 
     def __enter__(self) -> "Deployment":
+        # A case that is stopped from outside ends its processes, too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         for process in self.processes:
             process.start()
         return self
