Tell for each model that is never served what keeps it waiting

Change: model_unserved lines for models that requests waited for and that ran none since, at most ten a second; placement_summary has inherited_orders, unserved_models and models_without_copy. No decision changes.

Evidence: tests/fleet/test_unserved_models.py and test_store_loads_of_the_previous_lease_holder_are_shown; the latter has nothing to read on the code before.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -11,6 +11,7 @@
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import engine_client
+from monsoonhinge.fleet import engine_dump
 from monsoonhinge.fleet import orders
 from monsoonhinge.fleet import placement
 from monsoonhinge.fleet import placement_feed
@@ -178,7 +179,7 @@
         return {
             "fencing": self.fencing,
             "engines": {
-                engine.target: engine.dump(now)
+                engine.target: engine_dump.dump(engine, now)
                 for engine in self.engines.values()
             },
             "needs": {
--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -1,5 +1,6 @@
 """Demand for models, aggregated over all gateways; performs no I/O."""
 
+import collections
 import dataclasses
 import math
 
@@ -38,6 +39,7 @@
         adapters: Waiting requests by adapter.
         rate: Smoothed arrival rate in requests per second.
         adapter_rate: Part of the rate that requires an adapter.
+        arrived: Requests that this member knows of.
     """
 
     waiting: int = 0
@@ -47,6 +49,7 @@
     adapters: dict[str, int] = dataclasses.field(default_factory=dict)
     rate: float = 0.0
     adapter_rate: float = 0.0
+    arrived: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +80,7 @@
         self._arrival_counts: dict[tuple[str, ModelKey, str], int] = {}
         self._rates: dict[ModelKey, _SmoothedRate] = {}
         self._adapter_rates: dict[ModelKey, _SmoothedRate] = {}
+        self._arrived: collections.Counter[ModelKey] = collections.Counter()
 
     def update(self, message: fleet.FleetDemand, now: float) -> None:
         """Replaces the demand of a gateway and counts its new arrivals."""
@@ -90,6 +94,7 @@
                 previous if need.arrived >= previous else 0
             )
             self._arrival_counts[counter] = need.arrived
+            self._arrived[key] += new_arrivals
             if new_arrivals > 0:
                 self._rates.setdefault(key, _SmoothedRate()).record(
                     new_arrivals, now
@@ -112,7 +117,7 @@
     def needs(self, now: float) -> dict[ModelKey, Need]:
         """Returns the demand for all models requested so far."""
         result = {
-            key: Need(rate=rate.current(now))
+            key: Need(rate=rate.current(now), arrived=self._arrived[key])
             for key, rate in self._rates.items()
         }
         for key, rate in self._adapter_rates.items():
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -10,7 +10,6 @@
 import dataclasses
 import math
 import statistics
-from typing import Any
 
 from monsoonhinge.config import ingress
 from monsoonhinge.fleet import engine_client
@@ -120,28 +119,6 @@
         """Target id of the engine."""
         return self.registration.target
 
-    def dump(self, now: float) -> dict[str, Any]:
-        """Returns the state for operators, with times relative to ``now``."""
-        return {
-            "service": self.registration.service,
-            "held": {
-                name: {
-                    "state": replica.state,
-                    "for_s": round(now - replica.state_since, 3),
-                    "ready_in_s": round(max(0.0, replica.ready_at - now), 3),
-                    "adapters": sorted(replica.adapters),
-                    "running": self.running_by_model.get(name, 0),
-                }
-                for name, replica in self.replicas.items()
-            },
-            "on_disk": sorted(self.on_disk),
-            "in_memory": sorted(self.in_memory),
-            "known": self.order_count is not None,
-            "swapping": self.swapping,
-            "unreachable": self.unreachable,
-            "retry_in_s": round(max(0.0, self.retry_at - now), 3),
-        }
-
     def configure(self, limits: ingress.IngressEngine) -> None:
         """Applies the limits of a new configuration."""
         if limits is not self.limits:
@@ -305,9 +282,13 @@
             return config.disk_load_s
         return config.load_s
 
+    def has_copy(self, model: str) -> bool:
+        """Returns whether a load has a cached copy to read from."""
+        return model in self.in_memory or model in self.on_disk
+
     def loads_from_store(self, model: str) -> bool:
         """Returns whether a load has no cached copy to read from."""
-        return model not in self.in_memory and model not in self.on_disk
+        return not self.has_copy(model)
 
     def is_configured(self, model: str) -> bool:
         """Returns whether the configuration allows a model on this engine."""
--- a/src/monsoonhinge/fleet/metrics.py
+++ b/src/monsoonhinge/fleet/metrics.py
@@ -11,7 +11,13 @@
     ["obstacle"],
 )
 STORE_LOADS = prometheus_client.Gauge(
-    "monsoonhinge_fleet_store_loads", "Loads from the weight store in progress"
+    "monsoonhinge_fleet_store_loads",
+    "Loads from the weight store in progress, with orders of an earlier lease "
+    "holder that may be such loads",
+)
+UNSERVED_MODELS = prometheus_client.Gauge(
+    "monsoonhinge_fleet_unserved_models",
+    "Models that requests have waited for and that have run none since",
 )
 PLANNING_SECONDS = prometheus_client.Histogram(
     "monsoonhinge_fleet_planning_seconds",
--- a/src/monsoonhinge/fleet/placement_report.py
+++ b/src/monsoonhinge/fleet/placement_report.py
@@ -5,12 +5,13 @@
 """
 
 import collections
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import metrics
 from monsoonhinge.fleet import placement_plan
+from monsoonhinge.fleet import unserved_models
 from monsoonhinge.runtime import events
 
 _INTERVAL_S = 1.0
@@ -31,12 +32,13 @@
     def __init__(self) -> None:
         self._reported_at: dict[str, float] = {}
         self._longest_step_s: dict[str, float] = {}
+        self._unserved: dict[str, unserved_models.UnservedModels] = {}
 
     def record(
         self,
         *,
         service: str,
-        fleet: Iterable[engines.Engine],
+        fleet: Sequence[engines.Engine],
         plan: placement_plan.Plan,
         needs: Mapping[demand.ModelKey, demand.Need],
         store_loads: Collection[tuple[str, str]],
@@ -57,6 +59,10 @@
         metrics.PLANNING_SECONDS.observe(step_s)
         longest_s = max(step_s, self._longest_step_s.get(service, 0.0))
         self._longest_step_s[service] = longest_s
+        unserved = self._unserved.setdefault(
+            service, unserved_models.UnservedModels(service=service)
+        )
+        unserved.update(fleet=fleet, needs=needs, now=now)
         if now - self._reported_at.get(service, float("-inf")) < _INTERVAL_S:
             return
         self._reported_at[service] = now
@@ -78,7 +84,10 @@
             metrics.WAITING_MODELS.labels(obstacle.value).set(
                 obstacles[obstacle.value]
             )
-        metrics.STORE_LOADS.set(len(store_loads))
+        # An order of an earlier lease holder may be a load from the store.
+        inherited = sum(engine.busy_while_unknown for engine in fleet)
+        metrics.STORE_LOADS.set(len(store_loads) + inherited)
+        metrics.UNSERVED_MODELS.set(len(unserved))
         events.emit(
             events.PLACEMENT_SUMMARY,
             service=service,
@@ -86,10 +95,22 @@
             obstacles=dict(obstacles),
             held_up_requests=held_up_requests,
             store_loads=len(store_loads),
+            inherited_orders=inherited,
+            unserved_models=len(unserved),
+            models_without_copy=_models_without_copy(fleet),
             busy_replicas=plan.busy_replicas,
             desired_replicas=plan.desired_replicas,
             longest_step_s=round(longest_s, 4),
         )
+        unserved.report(fleet=fleet, plan=plan, needs=needs, now=now)
+
+
+def _models_without_copy(fleet: Sequence[engines.Engine]) -> int:
+    """Returns how many configured models no engine has a copy of."""
+    if not fleet:
+        return 0
+    copies = {name for e in fleet for name in (*e.in_memory, *e.on_disk)}
+    return sum(m.name not in copies for m in fleet[0].limits.models)
 
 
 def _condition(
--- a/tests/fleet/test_placement_report.py
+++ b/tests/fleet/test_placement_report.py
@@ -39,7 +39,7 @@
     with mock.patch.object(events, "emit") as emit:
         _record(placement_report.PlacementReporter(), now=1.0)
     ((event,), fields) = typing.cast(
-        tuple[tuple[str], dict[str, object]], emit.call_args
+        tuple[tuple[str], dict[str, object]], emit.call_args_list[0]
     )
     assert event == events.PLACEMENT_SUMMARY
     assert fields == {
@@ -48,6 +48,9 @@
         "obstacles": {"no_evictable_model": 1},
         "held_up_requests": 3,
         "store_loads": 1,
+        "inherited_orders": 0,
+        "unserved_models": 1,
+        "models_without_copy": 20,
         "busy_replicas": 5,
         "desired_replicas": 4,
         "longest_step_s": 0.004,
@@ -62,4 +65,28 @@
     with mock.patch.object(events, "emit") as emit:
         for step in range(25):
             _record(reporter, now=step / 10)
-    assert emit.call_count == 3
+    assert _emitted(emit, events.PLACEMENT_SUMMARY) == 3
+
+
+def _emitted(emit: mock.Mock, event: str) -> int:
+    return sum(call.args == (event,) for call in emit.call_args_list)
+
+
+def test_store_loads_of_the_previous_lease_holder_are_shown() -> None:
+    """Guards against a store that seems idle while loads occupy it."""
+    engine = world.engine("t1")
+    engine.order_count = None
+    engine.busy_while_unknown = True
+    with mock.patch.object(events, "emit") as emit:
+        placement_report.PlacementReporter().record(
+            service=world.SERVICE,
+            fleet=[engine],
+            plan=placement_plan.Plan(),
+            needs={},
+            store_loads=(),
+            step_s=0.001,
+            now=1.0,
+        )
+    assert emit.call_args.kwargs["inherited_orders"] == 1
+    (sample,) = next(iter(metrics.STORE_LOADS.collect())).samples
+    assert sample.value == 1
