--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -2,10 +2,12 @@
 
 Engines carry out swaps in the time that their configuration states. The weight
 store reads a few loads at once at full speed and shares its speed beyond that.
+A full disk drops the least recently used copy. Engines can be lost with their
+disks, and the lease can change hands.
 """
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 import dataclasses
 import random
 
@@ -19,7 +21,13 @@
 
 _STEP_S = 0.1
 _UNLOAD_S = 0.1
-_RUN_S = 1.7
+_MEAN_RUN_S = 1.8
+
+# Time in which bursts of requests arrive.
+_BURST_FROM_S, _BURST_UNTIL_S = 9.0, 15.0
+
+# Time in which a new lease holder reads the state of an idle engine.
+_SYNC_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,12 +39,42 @@
         per_s: Mean request rate.
         latency_s: Target latency.
         patience_s: Time after which a request stops waiting.
+        burst: Factor of the rate during the burst.
     """
 
     model: str
     per_s: float
     latency_s: float
     patience_s: float
+    burst: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """Engines that are lost with their disks and come back empty.
+
+    Attributes:
+        at: Time of the loss.
+        count: Number of engines.
+        for_s: Time until as many empty engines arrive.
+    """
+
+    at: float
+    count: int
+    for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handover:
+    """A change of the lease holder, which knows nothing but announcements.
+
+    Attributes:
+        at: Time at which the holder is lost.
+        for_s: Time without a holder.
+    """
+
+    at: float
+    for_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +98,7 @@
         asked: Requests by model.
         served: Served requests by model.
         max_store_loads: Highest number of concurrent store loads.
+        store_loads: Models that were loaded from the store, in order.
     """
 
     def __init__(
@@ -69,11 +108,30 @@
         traffic: list[Traffic],
         limits: ingress.IngressEngine,
         store_concurrency: int,
+        disk_copies: int | None = None,
+        losses: Sequence[Loss] = (),
+        handovers: Sequence[Handover] = (),
     ) -> None:
+        """Initializes the simulation.
+
+        Args:
+            fleet: Engines at the start.
+            traffic: Requests by model.
+            limits: Configuration of the engines.
+            store_concurrency: Loads that the store reads at full speed.
+            disk_copies: Copies that fit on a disk; None if any number does.
+            losses: Engines that are lost.
+            handovers: Changes of the lease holder.
+        """
         self.fleet = fleet
         self.asked: collections.Counter[str] = collections.Counter()
         self.served: collections.Counter[str] = collections.Counter()
         self.max_store_loads = 0
+        self.store_loads: list[str] = []
+        self._disk_copies = disk_copies
+        self._losses = losses
+        self._handovers = handovers
+        self._synchronized_at: dict[str, float] = {}
         self._by_target = {engine.target: engine for engine in fleet}
         self._traffic = traffic
         self._limits = limits
@@ -84,15 +142,85 @@
         self._loads: list[_Loading] = []
         self._needs: dict[demand.ModelKey, demand.Need] = {}
         self._rng = random.Random(19)
+        # Copies on each disk, least recently used first.
+        self._disks: dict[str, list[str]] = {}
+        for engine in fleet:
+            copies = sorted(engine.on_disk)
+            self._rng.shuffle(copies)
+            self._disks[engine.target] = copies
 
-    def run(self, duration_s: float) -> None:
-        """Plays the load pattern; requests arrive for ``duration_s``."""
-        for step in range(round(duration_s / _STEP_S)):
+    def run(self, duration_s: float, *, lead_s: float = 0.0) -> None:
+        """Plays the load pattern.
+
+        Args:
+            duration_s: Time in which requests arrive.
+            lead_s: Time before the first request.
+        """
+        first = -round(lead_s / _STEP_S)
+        for step in range(first, round(duration_s / _STEP_S)):
             now = step * _STEP_S
+            self._change_fleet(step)
             self._advance_loads(now)
-            self._arrive(now)
+            if step >= 0:
+                self._arrive(now)
             self._serve(now)
-            self._plan(now)
+            if not any(h.at <= now < h.at + h.for_s for h in self._handovers):
+                self._plan(now)
+
+    def _change_fleet(self, step: int) -> None:
+        now = step * _STEP_S
+        for loss in self._losses:
+            if step == round(loss.at / _STEP_S):
+                for engine in self.fleet[: loss.count]:
+                    self._lose(engine)
+            if step == round((loss.at + loss.for_s) / _STEP_S):
+                for number in range(loss.count):
+                    self._add(
+                        world.empty_engine(
+                            f"new{step}-{number}", self._limits, now
+                        )
+                    )
+        for handover in self._handovers:
+            if step == round((handover.at + handover.for_s) / _STEP_S):
+                self._hand_over(now)
+        for engine in self.fleet:
+            if (
+                engine.order_count is None
+                and not engine.swapping
+                and now >= self._synchronized_at[engine.target]
+            ):
+                engine.order_count = 0
+                engine.busy_while_unknown = False
+
+    def _lose(self, engine: engines.Engine) -> None:
+        self.fleet.remove(engine)
+        self._running = [
+            run for run in self._running if run[1] != engine.target
+        ]
+        for load in list(self._loads):
+            if load.swap.target == engine.target:
+                self._loads.remove(load)
+                self._store.record_finish(
+                    engine.target, load.swap.model, loaded=False, now=0.0
+                )
+
+    def _add(self, engine: engines.Engine) -> None:
+        self.fleet.append(engine)
+        self._by_target[engine.target] = engine
+        self._disks[engine.target] = []
+
+    def _hand_over(self, now: float) -> None:
+        """Forgets all that the new holder cannot read in announcements."""
+        self._store = weightstore.StoreLimiter(window_s=5.0)
+        for engine in self.fleet:
+            engine.order_count = None
+            engine.busy_while_unknown = engine.swapping
+            self._synchronized_at[engine.target] = now + _SYNC_S
+            for model, replica in list(engine.replicas.items()):
+                if replica.state == engines.LOADING:
+                    del engine.replicas[model]
+                else:
+                    replica.state = engines.LOADED
 
     def never_served(self, *, min_requests: int) -> list[str]:
         """Returns the models asked for that often and never served."""
@@ -104,7 +232,10 @@
 
     def _arrive(self, now: float) -> None:
         for traffic in self._traffic:
-            count = _poisson(self._rng, traffic.per_s * _STEP_S)
+            per_s = traffic.per_s
+            if _BURST_FROM_S <= now < _BURST_UNTIL_S:
+                per_s *= traffic.burst
+            count = _poisson(self._rng, per_s * _STEP_S)
             self.asked[traffic.model] += count
             self._waiting.setdefault(traffic.model, []).extend(
                 _Waiting(now, traffic) for _ in range(count)
@@ -126,7 +257,8 @@
             for waiting in queue if holders else ():
                 chosen = self._rng.choice(holders)
                 self.served[model] += 1
-                self._running.append((now + _RUN_S, chosen.target, model))
+                run_s = self._rng.expovariate(1 / _MEAN_RUN_S)
+                self._running.append((now + run_s, chosen.target, model))
                 assert waiting.traffic.model == model
             queue[:] = [
                 waiting
@@ -172,6 +304,7 @@
             engine.finish_unload(name, now)
         engine.begin_load(swap.model, ready_at=now + swap.load_s, now=now)
         if swap.from_store:
+            self.store_loads.append(swap.model)
             self._store.record_start(
                 swap.target, swap.model, full_speed_s=swap.load_s, now=now
             )
@@ -193,12 +326,27 @@
 
     def _finish(self, load: _Loading, now: float) -> None:
         engine = self._by_target[load.swap.target]
-        engine.finish_load(load.swap.model, now)
+        model = load.swap.model
+        if model not in engine.replicas:
+            engine.replicas[model] = engines.ModelReplica(
+                state=engines.LOADED, state_since=now
+            )
+        engine.finish_load(model, now)
         engine.swapping = False
+        self._keep_copy(engine, model)
         self._store.record_finish(
             load.swap.target, load.swap.model, loaded=True, now=now
         )
 
+    def _keep_copy(self, engine: engines.Engine, model: str) -> None:
+        disk = self._disks[engine.target]
+        if model in disk:
+            disk.remove(model)
+        disk.append(model)
+        while self._disk_copies is not None and len(disk) > self._disk_copies:
+            engine.on_disk.discard(disk.pop(0))
+        engine.in_memory &= engine.on_disk
+
 
 def _need(
     queue: list[_Waiting],
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -75,6 +75,16 @@
     return state
 
 
+def empty_engine(
+    target: str, limits: ingress.IngressEngine, now: float
+) -> engines.Engine:
+    state = engines.Engine(
+        registration=registration(target), limits=limits, now=now
+    )
+    state.order_count = 0
+    return state
+
+
 def key(name: str) -> demand.ModelKey:
     return demand.ModelKey(SERVICE, name)
 
