Let gateways tell the lease holder of past demand

Cause: the holder of the fleet lease counted the arrivals that it saw. And nothing told how often a model was served or not.

Deficits decide nothing yet.

--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -102,8 +102,8 @@
         self._context.retry_budget.count_request(
             self._requirements.service, self._loop.time()
         )
-        self._context.wait_queue.count_arrival(
-            self._requirements, self.admitted.service.engine
+        self._context.wait_queue.demand.count_arrival(
+            self._requirements, self.admitted.service.engine, self._loop.time()
         )
         while True:
             try:
@@ -164,7 +164,11 @@
             self._record_head(target, sent_at, response, execution)
             match execution:
                 case dialect.ExecutionStatus.RAN:
-                    target.record_latency(self._loop.time() - sent_at)
+                    now = self._loop.time()
+                    target.record_latency(now - sent_at)
+                    self._context.wait_queue.demand.count_served(
+                        self._requirements, now
+                    )
                     return _Attempt(target, response)
                 case dialect.ExecutionStatus.UNKNOWN:
                     response.abort()
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -60,7 +60,7 @@
             if target is None:
                 if releases_tokens:
                     self._reservation.release()
-                target = await self._wait_for_target()
+                target = await self._wait_counted()
             if not self._reservation.held:
                 await self._reservation.acquire()
                 # The target may have become unsuitable in the meantime.
@@ -97,6 +97,16 @@
             step="dispatch",
         )
 
+    async def _wait_counted(self) -> target_table.Target:
+        """Waits for a target, and counts the request if it ends before."""
+        try:
+            return await self._wait_for_target()
+        except (refusal.Refusal, asyncio.CancelledError):
+            self._context.wait_queue.demand.count_unserved(
+                self._requirements, self._loop.time()
+            )
+            raise
+
     async def _wait_for_target(self) -> target_table.Target:
         now = self._loop.time()
         if now >= self._limits.queue_deadline:
--- a/src/monsoonhinge/ingress/wait_queue.py
+++ b/src/monsoonhinge/ingress/wait_queue.py
@@ -9,15 +9,12 @@
 import dataclasses
 import math
 
-from monsoonhinge.config import ingress
 from monsoonhinge.ingress import load_balancer
+from monsoonhinge.ingress import model_demand
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import target_table
 from monsoonhinge.protocol import fleet
 
-# Models and adapters in a demand report, which is one message.
-_MAX_COUNTED_NAMES = 50_000
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class QueuedRequest:
@@ -53,45 +50,13 @@
 
     Attributes:
         balancer: Chooses targets.
+        demand: Counts of the requests by model.
     """
 
     def __init__(self, *, balancer: load_balancer.LoadBalancer) -> None:
         self.balancer = balancer
+        self.demand = model_demand.ModelDemand()
         self._queued: dict[load_balancer.Requirements, list[QueuedRequest]] = {}
-        # By service and model, then by adapter.
-        self._arrival_counts: dict[tuple[str, str], dict[str, int]] = {}
-        self._counted_names = 0
-
-    def count_arrival(
-        self,
-        requirements: load_balancer.Requirements,
-        engine: ingress.IngressEngine | None,
-    ) -> None:
-        """Counts an arrived request for the demand report.
-
-        Callers choose the names of models and adapters. Those beyond what the
-        configuration has are not counted, which bounds the report.
-
-        Args:
-            requirements: Requirements of the request.
-            engine: Engine limits of its service, or None.
-        """
-        if engine is None or not requirements.model:
-            return
-        name = (requirements.service, requirements.model)
-        counts = self._arrival_counts.get(name, {})
-        if requirements.adapter not in counts:
-            adapters = _adapter_count(engine, requirements.model)
-            counted = len(counts) - ("" in counts)
-            if (
-                adapters is None
-                or (requirements.adapter and counted >= adapters)
-                or self._counted_names >= _MAX_COUNTED_NAMES
-            ):
-                return
-            self._counted_names += 1
-        counts[requirements.adapter] = counts.get(requirements.adapter, 0) + 1
-        self._arrival_counts[name] = counts
 
     def add(self, queued: QueuedRequest) -> None:
         """Adds a request to the queue."""
@@ -146,14 +111,8 @@
         return sum(len(queue) for queue in self._queued.values())
 
     def model_needs(self, now: float) -> list[fleet.ModelNeed]:
-        """Returns the waiting and arrived requests by model and adapter."""
-        needs_by_key = {
-            (service, model, adapter): fleet.ModelNeed(
-                service=service, model=model, adapter=adapter, arrived=count
-            )
-            for (service, model), counts in self._arrival_counts.items()
-            for adapter, count in counts.items()
-        }
+        """Returns the demand for the report, by model and adapter."""
+        needs_by_key = self.demand.needs(now)
         for requirements, queue in self._queued.items():
             if not requirements.model:
                 continue
@@ -188,11 +147,3 @@
             model_need.patient_for_ms = math.floor(queue_left_s * 1000)
             model_need.priority = priority
         return list(needs_by_key.values())
-
-
-def _adapter_count(engine: ingress.IngressEngine, name: str) -> int | None:
-    """Returns the number of adapters of a model, or None if there is none."""
-    for model in engine.models:
-        if model.name == name:
-            return model.adapters
-    return None
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -7,6 +7,9 @@
 
 import dataclasses
 
+# Half-life of the smoothed arrival rates in ``ModelNeed``.
+ARRIVAL_RATE_HALF_LIFE_S = 6.0
+
 
 @dataclasses.dataclass(slots=True)
 class HeldModel:
@@ -116,6 +119,11 @@
             the most important one.
         patient_for_ms: Time left until the latest queue deadline of the
             waiting requests.
+        rate_per_ks: Smoothed arrival rate in requests per 1,000 seconds.
+        served_milli: Thousandths of requests that a target ran. Older requests
+            count less.
+        unserved_milli: The same for requests that ended while they waited for
+            a target.
     """
 
     service: str = ""
@@ -126,6 +134,9 @@
     timely_for_ms: int = 0
     priority: int = 0
     patient_for_ms: int = 0
+    rate_per_ks: int = 0
+    served_milli: int = 0
+    unserved_milli: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -377,6 +377,9 @@
   timelyForMs @5 :Int64;
   priority @6 :Int64;
   patientForMs @7 :Int64;
+  ratePerKs @8 :Int64;
+  servedMilli @9 :Int64;
+  unservedMilli @10 :Int64;
 }
 
 struct TargetUse {
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -78,6 +78,7 @@
                 model=model,
                 waiting=1,
                 arrived=1,
+                rate_per_ks=116,
                 timely_for_ms=20_000,
                 patient_for_ms=20_000,
             )
--- a/tests/fleet/test_random_orders.py
+++ b/tests/fleet/test_random_orders.py
@@ -219,6 +219,7 @@
                 adapter=adapter,
                 waiting=1,
                 arrived=arrived[model, adapter],
+                rate_per_ks=116,
                 timely_for_ms=3000,
                 patient_for_ms=12_000,
             )
