Give the store to the models that callers have waited for longest

Cause: rules that know nothing of each other gave out the reads of the store.

A model with a copy elsewhere reads the store only if its load is worth more than the best one that only the store can serve. A tenth of the engines need no reserve.

--- a/src/monsoonhinge/fleet/load_value.py
+++ b/src/monsoonhinge/fleet/load_value.py
@@ -38,18 +38,25 @@
         1.0 if slack_s >= load_s else _LATE_REQUEST_WEIGHT
     )
     value = (
-        waiting + need.rate * _DEMAND_HORIZON_S
+        waiting + expected_requests(need) + need.deficit
     ) * _PRIORITY_FACTOR**need.priority
     return -value / load_s, slack_s
 
 
-def uncached_requests(
+def expected_requests(need: demand.Need) -> float:
+    """Returns the requests that a model which is loaded can expect soon."""
+    return need.rate * _DEMAND_HORIZON_S
+
+
+def load_requests(
     fleet: Sequence[engines.Engine], model: str, need: demand.Need, now: float
 ) -> float:
-    """Returns how many requests a load from the store is expected to serve.
+    """Returns the value of a load, in requests.
 
     Waiting requests count if they wait long enough for the load to finish.
+    Requests that were not served before count as well, so that a model that is
+    rarely requested gets its turn.
     """
     wait_s = need.latest_queue_deadline - now
     waiting = need.waiting if wait_s >= shortest_load_s(fleet, model) else 0
-    return waiting + need.rate * _DEMAND_HORIZON_S
+    return waiting + expected_requests(need) + need.deficit
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -84,6 +84,12 @@
             if not engine.unreachable and engine.order_count is not None
             for model in engine.in_memory | engine.on_disk
         )
+        # Models that are requested and that no engine has, by value of a load.
+        self.uncached_values = {
+            model: load_value.load_requests(fleet, model, need, now)
+            for model, need in self.needs.items()
+            if model not in self.cached and not self.replica_counts[model]
+        }
         self.store = store_policy.StorePolicy(
             store=store,
             fleet=fleet,
@@ -91,6 +97,7 @@
             needs=self.needs,
             desired=self.desired,
             cached=self.cached,
+            uncached_values=self.uncached_values,
         )
         self.evictions = eviction.EvictionPolicy(
             needs=self.needs,
@@ -130,26 +137,25 @@
         engines beyond those that loads from cached copies need, which serve
         more requests in the same time.
         """
-        candidates = [
-            (
-                load_value.uncached_requests(self.fleet, model, need, self.now),
-                model,
-                need,
-            )
-            for model, need in self.needs.items()
-            if model not in self.cached
-            and model not in self.desired
-            and not self.replica_counts[model]
-        ]
-        candidates.sort(key=lambda item: (-item[0], item[1]))
+        candidates = sorted(
+            self.uncached_values,
+            key=lambda model: (-self._uncached_value_per_s(model), model),
+        )
         reserved = self.store.reserved_engines(self.replica_counts)
-        for value, model, need in candidates:
-            obstacle = self.store.uncached_obstacle(value, reserved)
+        for model in candidates:
+            need = self.needs[model]
+            obstacle = self.store.uncached_obstacle(
+                self.uncached_values[model], reserved
+            )
             if obstacle is None:
                 self._plan_load(model, need, "uncopied")
             elif need.waiting:
                 self.plan.obstacles[model] = obstacle
 
+    def _uncached_value_per_s(self, model: str) -> float:
+        load_s = load_value.shortest_load_s(self.fleet, model)
+        return self.uncached_values[model] / load_s
+
     def preload_uncached(self) -> None:
         """Loads models that no engine has a copy of, before they are needed.
 
@@ -260,10 +266,12 @@
         for engine in (self.available if among is None else among).values():
             if not engine.is_configured(model) or model in engine.replicas:
                 continue
-            if model in self.desired and not self._may_add_busy(engine):
+            if not self._may_add(engine, model):
                 continue
             from_store = engine.loads_from_store(model)
-            if from_store and not self.store.permits(engine, model):
+            if from_store and not self.store.permits(
+                engine, model, self._load_value(model, need)
+            ):
                 if model not in self.cached:
                     obstacle = placement_plan.Obstacle.STORE
                 continue
@@ -291,12 +299,24 @@
         self.plan.obstacles.pop(model, None)
         del self.available[swap.target]
         if swap.from_store:
-            self.store.record_load()
+            self.store.record_load(swap.model)
         self.replica_counts[swap.model] += 1
         self.replica_counts.subtract(swap.evictions)
         self.plan.swaps.append(swap)
 
-    def _may_add_busy(self, engine: engines.Engine) -> bool:
+    def _load_value(self, model: str, need: demand.Need) -> float:
+        """Returns the requests that only a load of a model can serve."""
+        if self.replica_counts[model]:
+            return 0.0
+        return load_value.load_requests(self.fleet, model, need, self.now)
+
+    def _may_add(self, engine: engines.Engine, model: str) -> bool:
+        """Returns whether a model may join the others on an engine.
+
+        Busy models are spread over the engines, but for the first replica.
+        """
+        if model not in self.desired or not self.replica_counts[model]:
+            return True
         busy_count = self.evictions.busy_model_count(engine)
         return busy_count < self.evictions.max_busy_models
 
--- a/src/monsoonhinge/fleet/store_policy.py
+++ b/src/monsoonhinge/fleet/store_policy.py
@@ -22,6 +22,10 @@
 # would leave too few engines for loads from cached copies.
 _STORE_LOAD_FRACTION = 0.4
 
+# Store loads as a fraction of the engines that need not leave engines free for
+# loads from cached copies, since they occupy few of them.
+_UNRESERVED_FRACTION = 0.1
+
 # Requests that a load of a model without a cached copy has to serve, at least.
 _MIN_UNCACHED_VALUE = 1.0
 
@@ -43,6 +47,7 @@
         needs: Mapping[str, demand.Need],
         desired: Mapping[str, int],
         cached: Mapping[str, int],
+        uncached_values: Mapping[str, float],
     ) -> None:
         """Initializes the policy.
 
@@ -53,6 +58,8 @@
             needs: Demand by model.
             desired: Desired replicas of each busy model.
             cached: Cached copies by model.
+            uncached_values: Value of a load of each model that is requested and
+                that no engine has, in requests.
         """
         self.active_loads = store.active_loads
         self.available_starts = store.available_starts
@@ -62,11 +69,13 @@
         self._needs = needs
         self._desired = desired
         self._cached = cached
+        self._uncached_values = dict(uncached_values)
 
-    def record_load(self) -> None:
+    def record_load(self, model: str) -> None:
         """Counts a load of this plan."""
         self.available_starts -= 1
         self.active_loads += 1
+        self._uncached_values.pop(model, None)
 
     def may_preload(self) -> bool:
         """Returns whether a model may be loaded that no request needs yet.
@@ -103,9 +112,11 @@
         Args:
             value: Requests that the load is expected to serve.
             reserved_engines: Free engines that are left for loads from copies.
-                The first store load leaves only one.
+                The first store loads leave only one.
         """
-        if not self.active_loads:
+        if self.active_loads < max(
+            1, round(_UNRESERVED_FRACTION * len(self._fleet))
+        ):
             reserved_engines = min(1, reserved_engines)
         if value < _MIN_UNCACHED_VALUE:
             return placement_plan.Obstacle.TOO_LATE
@@ -115,12 +126,18 @@
             return placement_plan.Obstacle.RESERVED
         return None
 
-    def permits(self, engine: engines.Engine, model: str) -> bool:
+    def permits(self, engine: engines.Engine, model: str, value: float) -> bool:
         """Returns whether an engine may start a load from the store.
 
-        A rarely used model that has a copy elsewhere goes to an engine with
-        few cached copies, or to one that the expected loads from disk do not
-        need.
+        A model that has a copy elsewhere does not go before a more valuable
+        one that only the store has. If it is rarely used, it goes to an engine
+        with few cached copies, or to one that the expected loads from disk do
+        not need.
+
+        Args:
+            engine: The engine.
+            model: Model to load.
+            value: Requests that the load is expected to serve.
         """
         if self.available_starts <= 0:
             return False
@@ -128,7 +145,12 @@
             return False
         if self._needed_for_adapters(engine):
             return False
-        if model not in self._cached or model in self._desired:
+        if model not in self._cached:
+            return True
+        uncached_value = self._highest_uncached_value()
+        if uncached_value and value <= uncached_value:
+            return False
+        if model in self._desired:
             return True
         max_cached = max(len(e.on_disk) for e in self._fleet)
         if 2 * len(engine.on_disk) <= max_cached:
@@ -142,6 +164,11 @@
             1, math.ceil(rare_rate * _DISK_SWAP_S)
         )
 
+    def _highest_uncached_value(self) -> float:
+        """Returns the value of the best load that only the store can serve."""
+        highest = max(self._uncached_values.values(), default=0.0)
+        return highest if highest >= _MIN_UNCACHED_VALUE else 0.0
+
     def _max_loads(self, model: str) -> int:
         """Returns how many store loads may be in progress with this one.
 
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -1,7 +1,7 @@
 """Plays a load pattern against the placement decisions, with fake engines.
 
 Engines carry out swaps in the time that their configuration states. The weight
-store reads a few loads at once at full speed and shares its speed beyond that.
+store reads a few loads at once at full speed; one that joins more is slower.
 A full disk drops the least recently used copy. Engines can be lost with their
 disks, and the lease can change hands.
 """
@@ -19,6 +19,9 @@
 from monsoonhinge.fleet import weightstore
 from tests.fleet import world
 
+# Time of the engines at which the first request arrives.
+_EPOCH_S = 100.0
+
 _STEP_S = 0.1
 _UNLOAD_S = 0.1
 _MEAN_RUN_S = 1.8
@@ -51,17 +54,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loss:
-    """Engines that are lost with their disks and come back empty.
+    """Engines that are lost, and as many that come in their place.
 
     Attributes:
         at: Time of the loss.
         count: Number of engines.
-        for_s: Time until as many empty engines arrive.
+        for_s: Time until the others arrive, without any model in memory.
+        keeps_disks: Whether they have the disks of the lost ones.
     """
 
     at: float
     count: int
     for_s: float
+    keeps_disks: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,10 +76,14 @@
     Attributes:
         at: Time at which the holder is lost.
         for_s: Time without a holder.
+        slow_engines: Engines that the next holder takes for busy for longer.
+        slow_s: That time.
     """
 
     at: float
     for_s: float
+    slow_engines: int = 0
+    slow_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,6 +106,7 @@
         fleet: State of the engines.
         asked: Requests by model.
         served: Served requests by model.
+        unserved: Requests by model that ended while they waited.
         max_store_loads: Highest number of concurrent store loads.
         store_loads: Models that were loaded from the store, in order.
     """
@@ -111,6 +121,7 @@
         disk_copies: int | None = None,
         losses: Sequence[Loss] = (),
         handovers: Sequence[Handover] = (),
+        seed: int = 19,
     ) -> None:
         """Initializes the simulation.
 
@@ -122,15 +133,18 @@
             disk_copies: Copies that fit on a disk; None if any number does.
             losses: Engines that are lost.
             handovers: Changes of the lease holder.
+            seed: Seed of all random numbers.
         """
         self.fleet = fleet
         self.asked: collections.Counter[str] = collections.Counter()
         self.served: collections.Counter[str] = collections.Counter()
+        self.unserved: collections.Counter[str] = collections.Counter()
         self.max_store_loads = 0
         self.store_loads: list[str] = []
         self._disk_copies = disk_copies
         self._losses = losses
         self._handovers = handovers
+        self._lost: dict[Loss, list[str]] = {}
         self._synchronized_at: dict[str, float] = {}
         self._by_target = {engine.target: engine for engine in fleet}
         self._traffic = traffic
@@ -141,48 +155,61 @@
         self._running: list[tuple[float, str, str]] = []
         self._loads: list[_Loading] = []
         self._needs: dict[demand.ModelKey, demand.Need] = {}
-        self._rng = random.Random(19)
+        self._rng = random.Random(seed)
+        # Requests arrive at the same times, whatever is decided.
+        self._arrival_rng = random.Random(seed)
         # Copies on each disk, least recently used first.
         self._disks: dict[str, list[str]] = {}
         for engine in fleet:
             copies = sorted(engine.on_disk)
             self._rng.shuffle(copies)
+            # Models with few copies were placed before the others.
+            copies.sort(key=lambda name: self._copies(name))
             self._disks[engine.target] = copies
 
-    def run(self, duration_s: float, *, lead_s: float = 0.0) -> None:
+    def run(
+        self, duration_s: float, *, lead_s: float = 0.0, tail_s: float = 0.0
+    ) -> None:
         """Plays the load pattern.
 
         Args:
             duration_s: Time in which requests arrive.
             lead_s: Time before the first request.
+            tail_s: Time after the last request, in which others still wait.
         """
         first = -round(lead_s / _STEP_S)
-        for step in range(first, round(duration_s / _STEP_S)):
-            now = step * _STEP_S
+        for step in range(first, round((duration_s + tail_s) / _STEP_S)):
+            at = step * _STEP_S
+            now = _EPOCH_S + at
             self._change_fleet(step)
             self._advance_loads(now)
-            if step >= 0:
-                self._arrive(now)
+            if 0 <= at < duration_s:
+                self._arrive(at, now)
             self._serve(now)
-            if not any(h.at <= now < h.at + h.for_s for h in self._handovers):
+            if not any(h.at <= at < h.at + h.for_s for h in self._handovers):
                 self._plan(now)
 
+    def _copies(self, model: str) -> int:
+        return sum(model in engine.on_disk for engine in self.fleet)
+
     def _change_fleet(self, step: int) -> None:
-        now = step * _STEP_S
+        now = _EPOCH_S + step * _STEP_S
         for loss in self._losses:
             if step == round(loss.at / _STEP_S):
-                for engine in self.fleet[: loss.count]:
+                lost = self.fleet[: loss.count]
+                self._lost[loss] = [engine.target for engine in lost]
+                for engine in lost:
                     self._lose(engine)
             if step == round((loss.at + loss.for_s) / _STEP_S):
-                for number in range(loss.count):
+                for target in self._lost.pop(loss):
+                    disk = self._disks.pop(target)
                     self._add(
-                        world.empty_engine(
-                            f"new{step}-{number}", self._limits, now
-                        )
+                        world.empty_engine(f"{target}+", self._limits, now),
+                        disk if loss.keeps_disks else [],
                     )
         for handover in self._handovers:
             if step == round((handover.at + handover.for_s) / _STEP_S):
-                self._hand_over(now)
+                self._hand_over(handover, now)
         for engine in self.fleet:
             if (
                 engine.order_count is None
@@ -204,18 +231,22 @@
                     engine.target, load.swap.model, loaded=False, now=0.0
                 )
 
-    def _add(self, engine: engines.Engine) -> None:
+    def _add(self, engine: engines.Engine, disk: list[str]) -> None:
         self.fleet.append(engine)
         self._by_target[engine.target] = engine
-        self._disks[engine.target] = []
+        self._disks[engine.target] = disk
+        engine.on_disk = set(disk)
 
-    def _hand_over(self, now: float) -> None:
+    def _hand_over(self, handover: Handover, now: float) -> None:
         """Forgets all that the new holder cannot read in announcements."""
         self._store = weightstore.StoreLimiter(window_s=5.0)
-        for engine in self.fleet:
+        for number, engine in enumerate(self.fleet):
+            slow = number < handover.slow_engines
             engine.order_count = None
-            engine.busy_while_unknown = engine.swapping
-            self._synchronized_at[engine.target] = now + _SYNC_S
+            engine.busy_while_unknown = engine.swapping or slow
+            self._synchronized_at[engine.target] = now + (
+                handover.slow_s if slow else _SYNC_S
+            )
             for model, replica in list(engine.replicas.items()):
                 if replica.state == engines.LOADING:
                     del engine.replicas[model]
@@ -230,12 +261,12 @@
             if count >= min_requests and not self.served[model]
         ]
 
-    def _arrive(self, now: float) -> None:
+    def _arrive(self, at: float, now: float) -> None:
         for traffic in self._traffic:
             per_s = traffic.per_s
-            if _BURST_FROM_S <= now < _BURST_UNTIL_S:
+            if _BURST_FROM_S <= at < _BURST_UNTIL_S:
                 per_s *= traffic.burst
-            count = _poisson(self._rng, per_s * _STEP_S)
+            count = _poisson(self._arrival_rng, per_s * _STEP_S)
             self.asked[traffic.model] += count
             self._waiting.setdefault(traffic.model, []).extend(
                 _Waiting(now, traffic) for _ in range(count)
@@ -260,12 +291,17 @@
                 run_s = self._rng.expovariate(1 / _MEAN_RUN_S)
                 self._running.append((now + run_s, chosen.target, model))
                 assert waiting.traffic.model == model
+            waiting_before = 0 if holders else len(queue)
             queue[:] = [
                 waiting
                 for waiting in ([] if holders else queue)
                 if now < waiting.arrived_at + waiting.traffic.patience_s
             ]
-            self._needs[world.key(model)] = _need(queue, self._needs, model)
+            self.unserved[model] += waiting_before - len(queue)
+            need = _need(queue, self._needs, model)
+            need.served = self.served[model]
+            need.unserved = self.unserved[model]
+            self._needs[world.key(model)] = need
 
     def _plan(self, now: float) -> None:
         running: dict[str, dict[tuple[str, str], int]] = {}
@@ -290,7 +326,8 @@
 
     def _store_state(self, now: float) -> placement_plan.StoreState:
         return placement_plan.StoreState(
-            active_loads=len(self._store.active_loads),
+            active_loads=len(self._store.active_loads)
+            + sum(engine.busy_while_unknown for engine in self.fleet),
             available_starts=self._store.available_starts(
                 loads_per_s=self._limits.loads_per_s, now=now
             ),
@@ -311,15 +348,16 @@
             self.max_store_loads = max(
                 self.max_store_loads, len(self._store.active_loads)
             )
-        self._loads.append(
-            _Loading(swap, now, engine.load_s(swap.model) + _UNLOAD_S)
-        )
+        slowdown = 1.0
+        if swap.from_store:
+            reading = 1 + sum(load.swap.from_store for load in self._loads)
+            slowdown = max(1.0, reading / self._store_concurrency)
+        load_s = engine.load_s(swap.model) * slowdown
+        self._loads.append(_Loading(swap, now, load_s + _UNLOAD_S))
 
     def _advance_loads(self, now: float) -> None:
-        store_loads = sum(load.swap.from_store for load in self._loads)
-        speed = min(1.0, self._store_concurrency / max(1, store_loads))
         for load in list(self._loads):
-            load.left_s -= _STEP_S * (speed if load.swap.from_store else 1.0)
+            load.left_s -= _STEP_S
             if load.left_s <= 1e-9:
                 self._loads.remove(load)
                 self._finish(load, now)
--- a/tests/fleet/test_never_served.py
+++ b/tests/fleet/test_never_served.py
@@ -9,7 +9,10 @@
 import pytest
 
 from monsoonhinge.config import ingress
+from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import placement
+from monsoonhinge.fleet import placement_plan
 from tests.fleet import simulation
 from tests.fleet import world
 
@@ -37,15 +40,16 @@
 def _fleet(rng: random.Random) -> list[engines.Engine]:
     """Returns engines with full disks and no copy of some models.
 
-    Busy models have copies on many engines, about two fifths of the others on
-    two, and the rest on one.
+    Busy models have copies on many engines, 106 of the others on one, and the
+    rest on two.
     """
     copied = _RARE_MODELS[: -len(_UNCOPIED_MODELS)]
-    copies = [*_BUSY_MODELS * 15, *copied]
-    copies += rng.sample(copied, _ENGINES * _DISK_COPIES - len(copies) - 20)
+    copies = [*_BUSY_MODELS * 12, *copied]
+    copies += rng.sample(copied, len(copied) - 106)
+    copies += _BUSY_MODELS[: _ENGINES * _DISK_COPIES - len(copies)]
     disks: list[set[str]] = [set() for _ in range(_ENGINES)]
-    for number, name in enumerate(copies):
-        disks[number % _ENGINES].add(name)
+    for name in copies:
+        min((d for d in disks if name not in d), key=len).add(name)
     fleet = []
     for number, disk in enumerate(disks):
         engine = world.empty_engine(f"t{number}", _LIMITS, -20.0)
@@ -78,16 +82,19 @@
         limits=_LIMITS,
         store_concurrency=_STORE_CONCURRENCY,
         disk_copies=_DISK_COPIES,
+        seed=seed,
         losses=[
-            simulation.Loss(at=7.0, count=7, for_s=2.0),
-            simulation.Loss(at=11.0, count=3, for_s=3.0),
+            simulation.Loss(at=6.5, count=8, for_s=2.0, keeps_disks=True),
+            simulation.Loss(at=9.3, count=5, for_s=7.0),
+            simulation.Loss(at=22.4, count=3, for_s=7.0),
+            simulation.Loss(at=26.7, count=4, for_s=7.0),
         ],
         handovers=[
-            simulation.Handover(at=4.0, for_s=2.0),
-            simulation.Handover(at=14.0, for_s=3.0),
+            simulation.Handover(at=4.0, for_s=2.0, slow_engines=7, slow_s=4.5),
+            simulation.Handover(at=14.0, for_s=3.5),
         ],
     )
-    day.run(34.0, lead_s=12.0)
+    day.run(34.0, lead_s=12.0, tail_s=12.0)
     return day
 
 
@@ -104,3 +111,115 @@
     asked_often = sum(count >= 4 for count in day.asked.values())
     never_served = day.never_served(min_requests=4)
     assert len(never_served) <= 1 + 0.1 * asked_often
+
+
+def _need(**fields: float) -> demand.Need:
+    return demand.Need(**fields)  # type: ignore[arg-type]
+
+
+def _plan(
+    fleet: list[engines.Engine],
+    needs: dict[str, demand.Need],
+    *,
+    active_loads: int = 0,
+    now: float = 0.0,
+) -> placement_plan.Plan:
+    return placement.plan(
+        service=world.SERVICE,
+        fleet=fleet,
+        needs={world.key(name): need for name, need in needs.items()},
+        store=placement_plan.StoreState(
+            active_loads=active_loads, available_starts=170, max_concurrency=2
+        ),
+        now=now,
+    )
+
+
+def _from_store(plan: placement_plan.Plan) -> list[str]:
+    return [swap.model for swap in plan.swaps if swap.from_store]
+
+
+def test_store_is_not_idle_while_loads_from_copies_keep_engines_reserved() -> (
+    None
+):
+    """Guards against twelve seconds without a store load while 30 models wait.
+
+    Half of the engines were kept for loads from copies as soon as one load was
+    in progress, although two store loads occupy few of thirty engines.
+    """
+    fleet = [world.engine(f"t{number}") for number in range(30)]
+    for engine in fleet:
+        engine.on_disk.update(f"m{number}" for number in range(10))
+    for engine in fleet[8:]:
+        engine.swapping = True
+    needs = {f"m{number}": _need(rate=0.7) for number in range(10)}
+    needs["m15"] = _need(rate=0.07, waiting=2, latest_queue_deadline=11.0)
+    assert _from_store(_plan(fleet, needs, active_loads=1)) == ["m15"]
+
+
+def test_store_does_not_refill_engines_while_models_without_a_copy_wait() -> (
+    None
+):
+    """Guards against replicas of busy models that go before unserved ones."""
+    full = world.engine("t1", models=("m1", "m2", "m3"), on_disk=("m1", "m2"))
+    fleet = [full, world.engine("t2"), world.engine("t3")]
+    needs = {
+        "m1": _need(rate=6.0),
+        # Its requests were refused, and no load has ended in time.
+        "m15": _need(rate=0.07, unserved=3.0),
+        "m16": _need(rate=0.07, unserved=2.0),
+    }
+    assert _from_store(_plan(fleet, needs)) == ["m15"]
+    assert _from_store(_plan(fleet, needs, active_loads=2)) == []
+    assert "m1" in _from_store(_plan(fleet, {"m1": _need(rate=6.0)}))
+
+
+def test_model_whose_requests_were_refused_gets_its_turn() -> None:
+    """Guards against requests that are too few for a load, whenever they come.
+
+    A request that cannot wait for the load counted for nothing, however often
+    others had been refused before.
+    """
+    fleet = [world.engine(f"t{number}") for number in range(3)]
+    rare = _need(rate=0.05, waiting=1, latest_queue_deadline=2.0)
+    assert _from_store(_plan(fleet, {"m15": rare})) == []
+    rare.unserved = 1.0
+    assert _from_store(_plan(fleet, {"m15": rare})) == ["m15"]
+    rare.served = 9.0
+    assert _from_store(_plan(fleet, {"m15": rare})) == []
+
+
+def test_model_that_was_refused_more_often_is_loaded_first() -> None:
+    """Guards against models that wait behind others with the same demand."""
+    engine = world.engine(on_disk=("m15", "m16"))
+    needs = {
+        name: _need(
+            rate=0.07,
+            waiting=1,
+            earliest_latency_deadline=3.0,
+            latest_queue_deadline=11.0,
+        )
+        for name in ("m15", "m16")
+    }
+    needs["m16"].unserved = 2.0
+    (swap,) = _plan([engine], needs).swaps
+    assert swap.model == "m16"
+
+
+def test_busy_model_without_a_copy_is_loaded_beside_another_busy_one() -> None:
+    """Guards against a model with 59 requests in ten seconds and no load.
+
+    The share of busy models of each engine was taken by others.
+    """
+    fleet = [
+        world.engine("t1", models=("m1", "m5", "m6")),
+        world.engine("t2", models=("m2", "m7", "m8")),
+        world.engine("t3"),
+    ]
+    fleet[2].swapping = True
+    needs = {
+        name: _need(rate=2.0, waiting=waiting, latest_queue_deadline=3.0)
+        for name, waiting in (("m1", 0), ("m2", 0), ("m9", 9))
+    }
+    needs |= {f"m{number}": _need(rate=0.7) for number in range(10, 14)}
+    assert _from_store(_plan(fleet, needs)) == ["m9"]
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -82,6 +82,7 @@
         registration=registration(target), limits=limits, now=now
     )
     state.order_count = 0
+    state.retry_at = now
     return state
 
 
