--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -170,7 +170,8 @@
         return fleet.Placements(
             fencing=self.fencing,
             placements=[
-                engine.placement(now) for engine in self.engines.values()
+                placement_feed.placement_message(engine, now)
+                for engine in self.engines.values()
             ],
         )
 
@@ -296,6 +297,7 @@
     def _resynchronize_engine(self, engine: engines.Engine) -> None:
         """Sends no orders to an engine until its state is known again."""
         engine.order_count = None
+        engine.unknown_since = asyncio.get_running_loop().time()
         self._spawn(engine.target, self._synchronize_engine(engine))
 
     def _start_swap(self, swap: placement_plan.Swap, now: float) -> None:
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -29,6 +29,9 @@
 # more recent request.
 _MAX_REPORT_AGE_S = 1.0
 
+# Time in which the state of an engine is usually known again.
+_MAX_SYNCHRONIZATION_S = 3.0
+
 # Consecutive announcements without a model after which it counts as unloaded.
 _MAX_MISSED_ANNOUNCEMENTS = 2
 
@@ -64,6 +67,7 @@
         replicas: Models that are or may be in memory, by name.
         order_count: Orders that the engine has accepted since its start; None
             while its state is unknown.
+        unknown_since: Time from which its state has been unknown.
         unreachable: Whether a gateway cannot connect to it; its replicas are
             not counted as serving then.
         swapping: Whether a swap of models is in progress.
@@ -93,6 +97,7 @@
         self.limits = limits
         self.replicas: dict[str, ModelReplica] = {}
         self.order_count: int | None = None
+        self.unknown_since = now
         self.swapping = False
         self.busy_while_unknown = False
         self.unreachable = False
@@ -282,6 +287,13 @@
             return config.disk_load_s
         return config.load_s
 
+    def offers_copies(self, now: float) -> bool:
+        """Returns whether its cached copies can be used, now or very soon."""
+        if self.unreachable:
+            return False
+        known_soon = now - self.unknown_since < _MAX_SYNCHRONIZATION_S
+        return self.order_count is not None or known_soon
+
     def has_copy(self, model: str) -> bool:
         """Returns whether a load has a cached copy to read from."""
         return model in self.in_memory or model in self.on_disk
@@ -360,22 +372,3 @@
                 self.adapters_in_use.add((name, adapter))
                 if adapter in replica.adapters:
                     replica.adapters[adapter] = now
-
-    def placement(self, now: float) -> fleet.Placement:
-        """Returns the placement message for gateways."""
-        return fleet.Placement(
-            target=self.target,
-            incarnation=self.registration.incarnation,
-            running=sum(self.running_by_model.values()),
-            models=[
-                fleet.PlacedModel(
-                    name=name,
-                    state=replica.state,
-                    ready_in_ms=max(0, round((replica.ready_at - now) * 1000))
-                    if replica.state == LOADING
-                    else 0,
-                    adapters=sorted(replica.adapters),
-                )
-                for name, replica in self.replicas.items()
-            ],
-        )
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -81,7 +81,7 @@
         self.cached = collections.Counter(
             model
             for engine in fleet
-            if not engine.unreachable and engine.order_count is not None
+            if engine.offers_copies(now)
             for model in engine.in_memory | engine.on_disk
         )
         # Models that are requested and that no engine has, by value of a load.
--- a/src/monsoonhinge/fleet/placement_feed.py
+++ b/src/monsoonhinge/fleet/placement_feed.py
@@ -50,7 +50,7 @@
         )
         changed = []
         for engine in fleet_engines:
-            current = engine.placement(now)
+            current = placement_message(engine, now)
             for model in current.models:
                 model.adapters = [
                     adapter
@@ -84,3 +84,23 @@
 
 def _model_state(model: fleet.PlacedModel) -> tuple[str, str, tuple[str, ...]]:
     return model.name, model.state, tuple(model.adapters)
+
+
+def placement_message(engine: engines.Engine, now: float) -> fleet.Placement:
+    """Returns the placement of an engine for gateways."""
+    return fleet.Placement(
+        target=engine.target,
+        incarnation=engine.registration.incarnation,
+        running=sum(engine.running_by_model.values()),
+        models=[
+            fleet.PlacedModel(
+                name=name,
+                state=replica.state,
+                ready_in_ms=max(0, round((replica.ready_at - now) * 1000))
+                if replica.state == engines.LOADING
+                else 0,
+                adapters=sorted(replica.adapters),
+            )
+            for name, replica in engine.replicas.items()
+        ],
+    )
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -243,6 +243,7 @@
         for number, engine in enumerate(self.fleet):
             slow = number < handover.slow_engines
             engine.order_count = None
+            engine.unknown_since = now
             engine.busy_while_unknown = engine.swapping or slow
             self._synchronized_at[engine.target] = now + (
                 handover.slow_s if slow else _SYNC_S
--- a/tests/fleet/test_never_served.py
+++ b/tests/fleet/test_never_served.py
@@ -223,3 +223,20 @@
     }
     needs |= {f"m{number}": _need(rate=0.7) for number in range(10, 14)}
     assert _from_store(_plan(fleet, needs)) == ["m9"]
+
+
+def test_copy_on_an_engine_of_unknown_state_is_waited_for() -> None:
+    """Guards against store loads of copied models after a change of the lease.
+
+    Engines are of unknown state for a moment then.
+    """
+    holder = world.engine("t1", on_disk=("m15",))
+    holder.order_count = None
+    holder.unknown_since = 10.0
+    fleet = [holder, *(world.engine(f"t{number}") for number in (2, 3, 4))]
+    needs = {
+        "m15": _need(rate=0.07, waiting=1, latest_queue_deadline=40.0),
+        "m16": _need(rate=0.07, waiting=1, latest_queue_deadline=40.0),
+    }
+    assert _from_store(_plan(fleet, needs, now=10.5)) == ["m16"]
+    assert _from_store(_plan(fleet, needs, now=20.0)) == ["m15", "m16"]
