End the turn of a rarely used model while others wait

Cause: a model keeps its place as long as requests for it arrive; only busy models retired. A model without a copy got no room at all on such engines.

Change: the most valuable waiting models each get one engine on which a replica retires, a rarely used one after four seconds if it expects fewer requests. A retired replica is not used again while a more valuable model waits for its engine.

--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -302,6 +302,10 @@
         """Returns whether a load has no cached copy to read from."""
         return not self.has_copy(model)
 
+    def has_retiring_replica(self) -> bool:
+        """Returns whether room is being made for another model."""
+        return any(r.state == RETIRING for r in self.replicas.values())
+
     def is_configured(self, model: str) -> bool:
         """Returns whether the configuration allows a model on this engine."""
         return model in self._model_configs
--- a/src/monsoonhinge/fleet/eviction.py
+++ b/src/monsoonhinge/fleet/eviction.py
@@ -9,11 +9,15 @@
 
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
+from monsoonhinge.fleet import load_value
 
 # A model is not evicted sooner after its load, so that the requests for which
 # it was loaded have time to arrive.
 _MIN_RESIDENCY_S = 0.25
 
+# Time for which a rarely used model keeps its place although others wait.
+_TURN_S = 4.0
+
 # Delay of a request whose model was evicted and has no other replica.
 _RELOAD_DELAY_S = 10.0
 
@@ -75,13 +79,23 @@
                 return tuple(evictions)
         return None
 
-    def choose_retirement(self, engine: engines.Engine) -> str | None:
-        """Returns the busy model whose replica on an engine retires, if any.
+    def choose_retirement(
+        self, engine: engines.Engine, value: float
+    ) -> tuple[float, str] | None:
+        """Returns the model whose replica on an engine retires, if any.
+
+        A model that runs requests all the time is never idle enough to be
+        evicted. It then gets no more requests here: a busy one with more
+        replicas than desired, or, on an engine with more than its share of busy
+        models, any with replicas elsewhere; or a rarely used one whose turn is
+        over.
+
+        Args:
+            engine: The engine.
+            value: Requests that a load of the model that waits would serve.
 
-        Busy models run requests all the time, so that their replicas are never
-        idle enough to be evicted. One then gets no more requests here: of a
-        model with more replicas than desired, or, on an engine with more than
-        its share of busy models, of any with replicas elsewhere.
+        Returns:
+            The cost of the retirement and the model.
         """
         states = {replica.state for replica in engine.replicas.values()}
         if states != {engines.LOADED}:
@@ -89,12 +103,23 @@
         above_share = self.busy_model_count(engine) > self.max_busy_models
         candidates = [
             (self.cost(name), name)
-            for name in engine.replicas
-            if name in self.desired
-            and self.replica_counts[name]
-            > (1 if above_share else self.desired[name])
+            for name, replica in engine.replicas.items()
+            if (
+                self.replica_counts[name]
+                > (1 if above_share else self.desired[name])
+                if name in self.desired
+                else self._turn_is_over(name, replica, value)
+            )
         ]
-        return min(candidates)[1] if candidates else None
+        return min(candidates, default=None)
+
+    def _turn_is_over(
+        self, name: str, replica: engines.ModelReplica, value: float
+    ) -> bool:
+        need = self.needs.get(name)
+        return self.now - replica.state_since >= _TURN_S and (
+            need is None or load_value.expected_requests(need) < value
+        )
 
     def busy_model_count(self, engine: engines.Engine) -> int:
         """Returns how many busy models an engine holds and serves."""
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -219,35 +219,71 @@
                 self._plan_load(model, self.needs[model], "empty", among=empty)
 
     def retire_replicas(self) -> None:
-        """Makes room on engines that are full of busy models.
+        """Makes room for models that wait because nothing may be evicted.
 
-        These are engines with a copy of a model that waits because nothing may
-        be evicted.
+        Each of them, the most valuable first, gets an engine on which a replica
+        retires. The engine has a copy of the model, if any engine has.
         """
         held_up = {
-            model
-            for model, obstacle in self.plan.obstacles.items()
-            if obstacle is placement_plan.Obstacle.NO_EVICTION
+            model: load_value.load_requests(
+                self.fleet, model, self.needs[model], self.now
+            )
+            for model in self.plan.obstacles
+            if self._is_held_up(model)
         }
-        for engine in self.available.values():
-            if held_up.isdisjoint(engine.on_disk | engine.in_memory):
+        engines_left = dict(self.available)
+        for model in sorted(held_up, key=lambda name: (-held_up[name], name)):
+            suitable = [
+                engine
+                for engine in engines_left.values()
+                if engine.is_configured(model)
+                and (engine.has_copy(model) or model not in self.cached)
+            ]
+            prepared = [e for e in suitable if e.has_retiring_replica()]
+            if prepared:
+                del engines_left[prepared[0].target]
                 continue
-            model = self.evictions.choose_retirement(engine)
-            if model is not None:
-                self.replica_counts[model] -= 1
-                self.plan.retirements.append((engine.target, model))
+            choices = [
+                (*choice, engine.target)
+                for engine in suitable
+                if (
+                    choice := self.evictions.choose_retirement(
+                        engine, held_up[model]
+                    )
+                )
+            ]
+            if choices:
+                _, retired, target = min(choices)
+                del engines_left[target]
+                self.replica_counts[retired] -= 1
+                self.plan.retirements.append((target, retired))
+
+    def _is_held_up(self, model: str) -> bool:
+        obstacle = self.plan.obstacles.get(model)
+        return obstacle is placement_plan.Obstacle.NO_EVICTION
 
     def _reactivate(self, model: str) -> bool:
         """Uses a retiring replica again; returns whether there is one."""
         for engine in self.available.values():
             replica = engine.replicas.get(model)
-            if replica is not None and replica.state == engines.RETIRING:
+            if (
+                replica is not None
+                and replica.state == engines.RETIRING
+                and not self._is_awaited(engine)
+            ):
                 del self.available[engine.target]
                 self.replica_counts[model] += 1
                 self.plan.reactivations.append((engine.target, model))
                 return True
         return False
 
+    def _is_awaited(self, engine: engines.Engine) -> bool:
+        """Returns whether a more valuable model waits for room on an engine."""
+        return any(
+            self._is_held_up(model) and engine.has_copy(model)
+            for model in self.plan.obstacles
+        )
+
     def _busiest_first(self) -> list[str]:
         return sorted(self.desired, key=lambda model: -self.needs[model].rate)
 
--- a/tests/fleet/test_never_served.py
+++ b/tests/fleet/test_never_served.py
@@ -240,3 +240,56 @@
     }
     assert _from_store(_plan(fleet, needs, now=10.5)) == ["m16"]
     assert _from_store(_plan(fleet, needs, now=20.0)) == ["m15", "m16"]
+
+
+def test_rarely_used_model_leaves_its_place_to_one_that_waits_longer() -> None:
+    """Guards against 83 waiting models beside 12 free engines.
+
+    All models of these engines ran requests, and only busy ones retired.
+    """
+    engine = world.engine(
+        models=("m1", "m2", "m3"),
+        on_disk=("m2", "m9"),
+        running={"m1": 1, "m2": 1, "m3": 1},
+    )
+    needs = {name: _need(rate=0.2) for name in ("m1", "m2", "m3")}
+    needs["m2"].rate = 0.1
+    needs["m9"] = _need(rate=0.1, waiting=2, latest_queue_deadline=11.0)
+    # Their turns have just begun.
+    assert not _plan([engine], needs, now=1.0).retirements
+    assert _plan([engine], needs, now=5.0).retirements == [("t1", "m2")]
+    engine.retire("m2", 5.0)
+    # Its requests wait behind those of the model that makes it leave.
+    needs["m2"].waiting = 1
+    assert not _plan([engine], needs, now=5.1).reactivations
+    del needs["m9"]
+    assert _plan([engine], needs, now=5.1).reactivations == [("t1", "m2")]
+
+
+def test_place_is_not_taken_from_a_model_with_more_requests() -> None:
+    """Guards against turns that end for a single request of a rarer model."""
+    engine = world.engine(
+        models=("m1", "m2", "m3"),
+        on_disk=("m9",),
+        running={"m1": 1, "m2": 1, "m3": 1},
+    )
+    needs = {name: _need(rate=0.7) for name in ("m1", "m2", "m3")}
+    needs["m9"] = _need(rate=0.1, waiting=1, latest_queue_deadline=11.0)
+    assert not _plan([engine], needs, now=9.0).retirements
+
+
+def test_model_without_a_copy_gets_room_on_an_engine_without_idle_models() -> (
+    None
+):
+    """Guards against an idle store beside engines that are all in use."""
+    fleet = [
+        world.engine(
+            f"t{number}",
+            models=("m1", "m2", "m3"),
+            running={"m1": 1, "m2": 1, "m3": 1},
+        )
+        for number in range(3)
+    ]
+    needs = {name: _need(rate=0.1) for name in ("m1", "m2", "m3")}
+    needs["m9"] = _need(rate=0.1, waiting=2, latest_queue_deadline=16.0)
+    assert len(_plan(fleet, needs, now=5.0).retirements) == 1
