Spare the only copies of models as the store is read

The planner knew neither the size of the disk nor the ages of the copies.

Change: disk_bytes of the engines (diskMb of the platform) and the time of the last load of each copy give the copies that a load is expected to drop; the engine whose copies are redundant, or which has room, is preferred. Which of the copies that were there before is the oldest cannot be known, so they count alike.

--- a/src/monsoonhinge/config/ingress.py
+++ b/src/monsoonhinge/config/ingress.py
@@ -91,6 +91,8 @@
         loads_per_s: Rate of loads that the weight store allows over all
             engines.
         models: Models that can be loaded.
+        disk_bytes: Disk for cached copies of weights; 0 if it is not known. A
+            full disk drops the least recently used copy.
     """
 
     slots: base.PositiveInt
@@ -99,6 +101,7 @@
     adapter_capacity: base.NonNegativeInt
     loads_per_s: base.PositiveFloat
     models: Annotated[list[EngineModel], pydantic.Field(max_length=20_000)]
+    disk_bytes: base.NonNegativeInt = 0
 
 
 class IngressService(base.NamedObject):
--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -82,6 +82,7 @@
         unloaded_at: Time of the last unload, by model.
         in_memory: Models with a cached copy in host memory.
         on_disk: Models with a cached copy on disk.
+        copy_used_at: Time of the last load that used or left a copy, by model.
         announced_models: Models in the latest announcement.
         announcement_received: Set, and replaced, at each announcement.
     """
@@ -109,6 +110,7 @@
         self.unloaded_at: dict[str, float] = {}
         self.in_memory = set(registration.in_memory)
         self.on_disk = set(registration.on_disk)
+        self.copy_used_at: dict[str, float] = {}
         self.announced_models = {model.name for model in registration.models}
         self.announcement_received = asyncio.Event()
         self._index_models()
@@ -250,6 +252,7 @@
             replica.missed_announcements = 0
         self.in_memory.add(model)
         self.on_disk.add(model)
+        self.copy_used_at[model] = now
 
     def begin_unload(self, model: str, now: float) -> None:
         """Records that an unload is planned."""
@@ -302,6 +305,17 @@
         """Returns whether a load has no cached copy to read from."""
         return not self.has_copy(model)
 
+    def store_load_s(self, model: str) -> float:
+        """Returns the time of a load from the weight store at full speed."""
+        return self._model_configs[model].load_s
+
+    def missing_disk_bytes(self, model: str) -> int:
+        """Returns the bytes of copies that a further copy would displace."""
+        if not self.limits.disk_bytes:
+            return 0
+        used = sum(self.size_bytes(name) for name in self.on_disk)
+        return used + self.size_bytes(model) - self.limits.disk_bytes
+
     def has_retiring_replica(self) -> bool:
         """Returns whether room is being made for another model."""
         return any(r.state == RETIRING for r in self.replicas.values())
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 import math
 
+from monsoonhinge.fleet import copy_loss
 from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 from monsoonhinge.fleet import eviction
@@ -99,6 +100,9 @@
             cached=self.cached,
             uncached_values=self.uncached_values,
         )
+        self.copy_loss = copy_loss.CopyLoss(
+            needs=self.needs, cached=self.cached
+        )
         self.evictions = eviction.EvictionPolicy(
             needs=self.needs,
             desired=self.desired,
@@ -316,7 +320,7 @@
                 obstacle = placement_plan.Obstacle.NO_EVICTION
                 continue
             load_s = engine.load_s(model)
-            cost = self._swap_cost(engine, evictions, load_s, need)
+            cost = self._swap_cost(engine, model, evictions, load_s, need)
             swap = placement_plan.Swap(
                 target=engine.target,
                 model=model,
@@ -359,6 +363,7 @@
     def _swap_cost(
         self,
         engine: engines.Engine,
+        model: str,
         evictions: tuple[str, ...],
         load_s: float,
         need: demand.Need,
@@ -378,4 +383,7 @@
             if self.cached[name] == 1 and name in self.needs
         )
         load_delay = load_s * (1 + need.waiting + copy_delay / 2)
-        return load_delay + eviction_cost + adapter_delay
+        drop_delay = 0.0
+        if engine.loads_from_store(model):
+            drop_delay = self.copy_loss.expected_s(engine, model)
+        return load_delay + eviction_cost + adapter_delay + drop_delay
--- a/src/monsoonhinge/platform/documents.py
+++ b/src/monsoonhinge/platform/documents.py
@@ -78,6 +78,8 @@
         alias="adapterCapacity", default=0
     )
     loads_per_s: models.PositiveNumber = pydantic.Field(alias="loadsPerS")
+    # Disk of one server for copies of weights.
+    disk_mb: models.Number = pydantic.Field(alias="diskMb", default=0)
     models: list[_Model] = []
 
 
@@ -233,6 +235,7 @@
         weights_bytes=int(engine.weights_mb * _MEGABYTE),
         adapter_capacity=engine.adapter_capacity,
         loads_per_s=engine.loads_per_s,
+        disk_bytes=int(engine.disk_mb * _MEGABYTE),
         models=[
             ingress.EngineModel(
                 name=model.name,
--- a/tests/fleet/test_never_served.py
+++ b/tests/fleet/test_never_served.py
@@ -30,6 +30,7 @@
     weights_bytes=220 * world.GIGABYTE,
     adapter_capacity=8,
     loads_per_s=34.0,
+    disk_bytes=_DISK_COPIES * 70 * world.GIGABYTE,
     models=[
         world.model(name).model_copy(update={"load_s": 7.8})
         for name in (*_BUSY_MODELS, *_RARE_MODELS)
@@ -293,3 +294,46 @@
     needs = {name: _need(rate=0.1) for name in ("m1", "m2", "m3")}
     needs["m9"] = _need(rate=0.1, waiting=2, latest_queue_deadline=16.0)
     assert len(_plan(fleet, needs, now=5.0).retirements) == 1
+
+
+def test_load_from_the_store_spares_the_only_copies_of_others() -> None:
+    """Guards against loads that leave as many models without a copy as before.
+
+    A full disk drops its least recently used copy.
+    """
+    limits = world.LIMITS.model_copy(
+        update={"disk_bytes": 4 * 70 * world.GIGABYTE}
+    )
+    fleet = [
+        world.engine("t1", on_disk=("m1", "m2", "m3", "m4")),
+        world.engine("t2", on_disk=("m1", "m2", "m3", "m5")),
+        world.engine("t3", on_disk=("m1", "m2", "m3", "m6")),
+        world.engine("t4", on_disk=("m6", "m7", "m8", "m9")),
+    ]
+    for engine in fleet:
+        engine.configure(limits)
+    need = _need(rate=0.07, waiting=1, latest_queue_deadline=11.0)
+    (swap,) = _plan(fleet, {"m15": need}).swaps
+    assert swap.target == "t3"
+    (swap,) = _plan(fleet[:2] + fleet[3:], {"m15": need}).swaps
+    assert swap.target in {"t1", "t2"}
+
+
+def test_oldest_copy_is_the_one_that_a_load_drops() -> None:
+    """Guards against loads on engines that drop the only copy of a model."""
+    limits = world.LIMITS.model_copy(
+        update={"disk_bytes": 2 * 70 * world.GIGABYTE}
+    )
+    fleet = [
+        world.engine("t1", on_disk=("m1", "m4")),
+        world.engine("t2", on_disk=("m1", "m5")),
+    ]
+    for engine in fleet:
+        engine.configure(limits)
+    fleet[0].finish_load("m1", 5.0)
+    fleet[1].finish_load("m5", 5.0)
+    fleet[0].in_memory.clear()
+    fleet[1].in_memory.clear()
+    need = _need(rate=0.07, waiting=1, latest_queue_deadline=19.0)
+    (swap,) = _plan(fleet, {"m15": need}, now=9.0).swaps
+    assert swap.target == "t2"
