Let unserved requests decide only between loads of the same demand

Cause: all unserved requests of the last minutes counted in the order of loads from copies, where a request with a latency target of 0.6 s stands beside one that can wait for twelve.

Change: there a deficit counts for half a request at most. For the store it counts in full.

--- a/src/monsoonhinge/fleet/load_value.py
+++ b/src/monsoonhinge/fleet/load_value.py
@@ -12,6 +12,10 @@
 # Factor by which the value of a request falls with each priority number.
 _PRIORITY_FACTOR = 0.8
 
+# Unserved requests that count in the order of loads from cached copies. They
+# decide between models with the same demand, and delay no more urgent one.
+_MAX_DEFICIT = 0.5
+
 # Expected arrivals within this time add to the value of a load.
 _DEMAND_HORIZON_S = 8.0
 
@@ -38,7 +42,7 @@
         1.0 if slack_s >= load_s else _LATE_REQUEST_WEIGHT
     )
     value = (
-        waiting + expected_requests(need) + need.deficit
+        waiting + expected_requests(need) + min(need.deficit, _MAX_DEFICIT)
     ) * _PRIORITY_FACTOR**need.priority
     return -value / load_s, slack_s
 
