Keep an engine for adapters only if no other loads them soon

Cause: an engine may not read from the store if it is the only free one that has one of its busy models with adapters. With 19 replicas of twelve busy models and 8 to 11 free engines, each free engine was the only one, although others had the model and were free again a second later.

Change: engines that carry out a short swap count as well; engines in a load from the store do not. The obstacle is named needed_for_adapters, apart from store_limit.

Evidence: test_engine_is_not_kept_for_adapters_that_others_soon_load fails on the code before this commit and passes now.

--- a/src/monsoonhinge/fleet/engine.py
+++ b/src/monsoonhinge/fleet/engine.py
@@ -316,6 +316,13 @@
         used = sum(self.size_bytes(name) for name in self.on_disk)
         return used + self.size_bytes(model) - self.limits.disk_bytes
 
+    def ready_at(self) -> float:
+        """Returns when its loads are expected to end; -inf without any."""
+        return max(
+            (r.ready_at for r in self.replicas.values() if r.state == LOADING),
+            default=-math.inf,
+        )
+
     def has_retiring_replica(self) -> bool:
         """Returns whether room is being made for another model."""
         return any(r.state == RETIRING for r in self.replicas.values())
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -100,6 +100,7 @@
             desired=self.desired,
             cached=self.cached,
             uncached_values=self.uncached_values,
+            now=now,
         )
         self.evictions = eviction.EvictionPolicy(
             needs=self.needs,
@@ -334,11 +335,14 @@
             if not self._may_add(engine, model):
                 continue
             from_store = engine.loads_from_store(model)
-            if from_store and not self.store.permits(
-                engine, model, self._load_value(model, need)
-            ):
+            store_obstacle = None
+            if from_store:
+                store_obstacle = self.store.obstacle(
+                    engine, model, self._load_value(model, need)
+                )
+            if store_obstacle is not None:
                 if model not in self.cached:
-                    obstacle = placement_plan.Obstacle.STORE
+                    obstacle = store_obstacle
                 continue
             evictions = self.evictions.choose(engine, model)
             if evictions is None:
--- a/src/monsoonhinge/fleet/placement_plan.py
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -16,6 +16,8 @@
             not be evicted.
         STORE: The free engines have no cached copy, and no load from the
             weight store may start.
+        ADAPTERS: The free engines have no cached copy, and each is the only one
+            that can load adapters for one of its models now.
         RESERVED: A load from the weight store would take the last free
             engines, which the expected loads from cached copies need.
         TOO_LATE: No request can wait until a load from the weight store ends,
@@ -25,6 +27,7 @@
     NO_ENGINE = "no_free_engine"
     NO_EVICTION = "no_evictable_model"
     STORE = "store_limit"
+    ADAPTERS = "needed_for_adapters"
     RESERVED = "engines_reserved"
     TOO_LATE = "load_too_late"
 
--- a/src/monsoonhinge/fleet/store_policy.py
+++ b/src/monsoonhinge/fleet/store_policy.py
@@ -48,6 +48,7 @@
         desired: Mapping[str, int],
         cached: Mapping[str, int],
         uncached_values: Mapping[str, float],
+        now: float,
     ) -> None:
         """Initializes the policy.
 
@@ -60,6 +61,7 @@
             cached: Cached copies by model.
             uncached_values: Value of a load of each model that is requested and
                 that no engine has, in requests.
+            now: Current time in seconds.
         """
         self.active_loads = store.active_loads
         self.available_starts = store.available_starts
@@ -70,6 +72,7 @@
         self._desired = desired
         self._cached = cached
         self._uncached_values = dict(uncached_values)
+        self._now = now
 
     def record_load(self, model: str) -> None:
         """Counts a load of this plan."""
@@ -126,8 +129,10 @@
             return placement_plan.Obstacle.RESERVED
         return None
 
-    def permits(self, engine: engines.Engine, model: str, value: float) -> bool:
-        """Returns whether an engine may start a load from the store.
+    def obstacle(
+        self, engine: engines.Engine, model: str, value: float
+    ) -> placement_plan.Obstacle | None:
+        """Returns why an engine may not start a load from the store, or None.
 
         A model that has a copy elsewhere does not go before a more valuable
         one that only the store has. If it is rarely used, it goes to an engine
@@ -139,12 +144,19 @@
             model: Model to load.
             value: Requests that the load is expected to serve.
         """
+        if not self._permits(engine, model, value):
+            return placement_plan.Obstacle.STORE
+        if self._needed_for_adapters(engine):
+            return placement_plan.Obstacle.ADAPTERS
+        return None
+
+    def _permits(
+        self, engine: engines.Engine, model: str, value: float
+    ) -> bool:
         if self.available_starts <= 0:
             return False
         if self.active_loads >= self._max_loads(model):
             return False
-        if self._needed_for_adapters(engine):
-            return False
         if model not in self._cached:
             return True
         uncached_value = self._highest_uncached_value()
@@ -181,8 +193,16 @@
         engine_limit = round(_STORE_LOAD_FRACTION * len(self._fleet))
         return max(1, min(limit, engine_limit))
 
+    def _is_soon_available(self, engine: engines.Engine) -> bool:
+        """Returns whether an engine is free, or carries out a short swap."""
+        return engine.target in self._available or (
+            engine.swapping
+            and not engine.unreachable
+            and engine.ready_at() - self._now < _DISK_SWAP_S
+        )
+
     def _needed_for_adapters(self, engine: engines.Engine) -> bool:
-        """Returns whether no other available engine could load its adapters."""
+        """Returns whether no other engine could soon load its adapters."""
         for model, replica in engine.replicas.items():
             need = self._needs.get(model)
             if (
@@ -194,7 +214,7 @@
                 continue
             if not any(
                 other is not engine
-                and other.target in self._available
+                and self._is_soon_available(other)
                 and model in other.replicas
                 and other.replicas[model].state == engines.LOADED
                 for other in self._fleet
--- a/tests/fleet/test_never_served.py
+++ b/tests/fleet/test_never_served.py
@@ -337,3 +337,25 @@
     need = _need(rate=0.07, waiting=1, latest_queue_deadline=19.0)
     (swap,) = _plan(fleet, {"m15": need}, now=9.0).swaps
     assert swap.target == "t2"
+
+
+def test_engine_is_not_kept_for_adapters_that_others_soon_load() -> None:
+    """Guards against sixteen seconds without a store load on a busy fleet.
+
+    Each free engine was the only free one with one of its busy models; others
+    had the model as well, and carried out swaps of a second.
+    """
+    fleet = [
+        world.engine("t1", models=("m1",)),
+        world.engine("t2", models=("m2",)),
+        world.engine("t3", models=("m1", "m2")),
+    ]
+    fleet[2].swapping = True
+    fleet[2].begin_load("m5", ready_at=1.0, now=0.0)
+    needs = {name: _need(rate=3.0, adapter_rate=1.0) for name in ("m1", "m2")}
+    needs["m15"] = _need(rate=0.07, waiting=2, latest_queue_deadline=11.0)
+    assert _from_store(_plan(fleet, needs)) == ["m15"]
+    fleet[2].begin_load("m5", ready_at=7.0, now=0.0)
+    plan = _plan(fleet, needs)
+    assert _from_store(plan) == []
+    assert plan.obstacles["m15"] is placement_plan.Obstacle.ADAPTERS
