Make room for models that only the store has and nobody waits for

Cause: since gateways refuse at once what the store reads too late, no request waits for most models without a copy. A load that found nothing to evict was recorded, and a replica retired for it, only while requests waited, so that the store could stay idle beside engines that are all in use.

Change: such a load is recorded whether requests wait or were refused. Replicas retire for as many of these models as the store can read now.

Evidence: test_model_without_a_copy_gets_room_on_an_engine_without_idle_models (refused requests) fails before; test_replicas_retire_for_what_the_store_can_read_only guards against one retired replica for each of them.

--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -24,6 +24,9 @@
 # Part of the engines that has to be idle for a load that no request needs yet.
 _MIN_IDLE_FRACTION = 0.5
 
+# Reason of the load of a model that only the weight store has.
+_UNCOPIED = "uncopied"
+
 
 def plan(
     *,
@@ -156,7 +159,7 @@
                 self.uncached_values[model], reserved
             )
             if obstacle is None:
-                self._plan_load(model, need, "uncopied")
+                self._plan_load(model, need, _UNCOPIED)
             elif need.waiting:
                 self.plan.obstacles[model] = obstacle
         self.plan.queued_loads = self._queued_loads(candidates)
@@ -262,7 +265,12 @@
             if self._is_held_up(model)
         }
         engines_left = dict(self.available)
+        store_loads = self.store.free_concurrency()
         for model in sorted(held_up, key=lambda name: (-held_up[name], name)):
+            if model not in self.cached:
+                store_loads -= 1
+                if store_loads < 0:
+                    continue
             suitable = [
                 engine
                 for engine in engines_left.values()
@@ -363,7 +371,7 @@
             if best is None or cost < best[0]:
                 best = (cost, swap)
         if best is None:
-            if need.waiting:
+            if need.waiting or reason == _UNCOPIED:
                 self.plan.obstacles[model] = obstacle
             return
         swap = best[1]
--- a/src/monsoonhinge/fleet/placement_plan.py
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -81,7 +81,7 @@
         busy_replicas: Replicas of busy models.
         desired_replicas: Desired replicas of busy models.
         obstacles: Models with waiting requests for which no load was planned,
-            with the reason.
+            or that only the store has, with the reason.
         queued_loads: Models that are requested and that only a later load from
             the weight store can serve, in the order of the loads.
     """
--- a/src/monsoonhinge/fleet/store_policy.py
+++ b/src/monsoonhinge/fleet/store_policy.py
@@ -80,6 +80,10 @@
         self.active_loads += 1
         self._uncached_values.pop(model, None)
 
+    def free_concurrency(self) -> int:
+        """Returns how many more loads may be in progress."""
+        return max(0, self._max_concurrency - self.active_loads)
+
     def may_preload(self) -> bool:
         """Returns whether a model may be loaded that no request needs yet.
 
--- a/tests/fleet/test_never_served.py
+++ b/tests/fleet/test_never_served.py
@@ -294,6 +294,25 @@
     needs = {name: _need(rate=0.1) for name in ("m1", "m2", "m3")}
     needs["m9"] = _need(rate=0.1, waiting=2, latest_queue_deadline=16.0)
     assert len(_plan(fleet, needs, now=5.0).retirements) == 1
+    # Its requests are refused at once.
+    needs["m9"] = _need(rate=0.1, unserved=3.0)
+    assert len(_plan(fleet, needs, now=5.0).retirements) == 1
+
+
+def test_replicas_retire_for_what_the_store_can_read_only() -> None:
+    """Guards against busy engines that make room for twenty store loads."""
+    fleet = [
+        world.engine(
+            f"t{number}",
+            models=("m1", "m2", "m3"),
+            running={"m1": 1, "m2": 1, "m3": 1},
+        )
+        for number in range(6)
+    ]
+    needs = {name: _need(rate=0.1) for name in ("m1", "m2", "m3")}
+    for number in range(10, 16):
+        needs[f"m{number}"] = _need(rate=0.1, unserved=3.0)
+    assert len(_plan(fleet, needs, now=5.0).retirements) == 2
 
 
 def test_load_from_the_store_spares_the_only_copies_of_others() -> None:
