--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -17,6 +17,7 @@
 from monsoonhinge.fleet import load_value
 from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import replica_targets
+from monsoonhinge.fleet import retirement
 from monsoonhinge.fleet import store_policy
 from monsoonhinge.fleet import store_queue
 from monsoonhinge.fleet import swap_cost
@@ -252,11 +253,7 @@
                 self._plan_load(model, self.needs[model], "empty", among=empty)
 
     def retire_replicas(self) -> None:
-        """Makes room for models that wait because nothing may be evicted.
-
-        Each of them, the most valuable first, gets an engine on which a replica
-        retires. The engine has a copy of the model, if any engine has.
-        """
+        """Makes room for models that wait because nothing may be evicted."""
         held_up = {
             model: load_value.load_requests(
                 self.fleet, model, self.needs[model], self.now
@@ -264,37 +261,15 @@
             for model in self.plan.obstacles
             if self._is_held_up(model)
         }
-        engines_left = dict(self.available)
-        store_loads = self.store.free_concurrency()
-        for model in sorted(held_up, key=lambda name: (-held_up[name], name)):
-            if model not in self.cached:
-                store_loads -= 1
-                if store_loads < 0:
-                    continue
-            suitable = [
-                engine
-                for engine in engines_left.values()
-                if engine.is_configured(model)
-                and (engine.has_copy(model) or model not in self.cached)
-            ]
-            prepared = [e for e in suitable if e.has_retiring_replica()]
-            if prepared:
-                del engines_left[prepared[0].target]
-                continue
-            choices = [
-                (*choice, engine.target)
-                for engine in suitable
-                if (
-                    choice := self.evictions.choose_retirement(
-                        engine, held_up[model]
-                    )
-                )
-            ]
-            if choices:
-                _, retired, target = min(choices)
-                del engines_left[target]
-                self.replica_counts[retired] -= 1
-                self.plan.retirements.append((target, retired))
+        for target, model in retirement.choose(
+            held_up=held_up,
+            available=self.available.values(),
+            cached=self.cached,
+            evictions=self.evictions,
+            store_loads=self.store.free_concurrency(),
+        ):
+            self.replica_counts[model] -= 1
+            self.plan.retirements.append((target, model))
 
     def _is_held_up(self, model: str) -> bool:
         obstacle = self.plan.obstacles.get(model)
