Check that the disk of engines is translated

The size of the disk decides which copies a load drops; a wrong unit would spare none. Test only: diskMb of the document becomes disk_bytes.

--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -49,6 +49,7 @@
         "weightsMb": 220000.0,
         "adapterCapacity": 8,
         "loadsPerS": 2.8,
+        "diskMb": 1300000.0,
     }
     body: dict[str, Any] = {
         "version": 7,
@@ -90,6 +91,7 @@
     assert (route["timeout_ms"], route["max_gap_ms"]) == (15000, 300)
     engine = objects["ingress_service/llm"]["engine"]
     assert engine["models"][0]["weights_bytes"] == 65_100_000_000
+    assert engine["disk_bytes"] == 1_300_000_000_000
     assert engine["models"][0]["disk_load_s"] == 1.6
     assert objects["team/t1"]["tokens_per_s"] == 18590
     assert objects["team/t1"]["charged_by"] == "tokens"
