--- a/src/monsoonhinge/fleet/eviction.py
+++ b/src/monsoonhinge/fleet/eviction.py
@@ -105,14 +105,17 @@
             (self.cost(name), name)
             for name, replica in engine.replicas.items()
             if (
-                self.replica_counts[name]
-                > (1 if above_share else self.desired[name])
+                self._has_replicas_to_spare(name, above_share=above_share)
                 if name in self.desired
                 else self._turn_is_over(name, replica, value)
             )
         ]
         return min(candidates, default=None)
 
+    def _has_replicas_to_spare(self, name: str, *, above_share: bool) -> bool:
+        kept = 1 if above_share else self.desired[name]
+        return self.replica_counts[name] > kept
+
     def _turn_is_over(
         self, name: str, replica: engines.ModelReplica, value: float
     ) -> bool:
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -177,13 +177,13 @@
             for engine in self.fleet
             for model in (*engine.replicas, *engine.in_memory, *engine.on_disk)
         }
-        planned = {swap.model for swap in self.plan.swaps}
+        held.update(swap.model for swap in self.plan.swaps)
         return [
             store_queue.QueuedLoad(
                 model, load_value.shortest_load_s(self.fleet, model)
             )
             for model in candidates
-            if model not in held | planned
+            if model not in held
         ]
 
     def _uncached_value_per_s(self, model: str) -> float:
