Take answers without a valid status for lost

Callers saw: an answer whose status a target in trouble had sent as 000 came to them as an answer, with "HTTP/1.1 0" as its status line and the target's signature and body. The same held for 0xx, for 600 to 999, and for a 101 that nobody had asked for. The product's order client took 000, 0xx and 101 for a confirmed order.

Cause: aiohttp takes any three digits for a final status, and 101 too; no code between it and the caller looked at the number, except for a few that it knew.

Change: each head that is read from a target is checked where responses are started (targets/response_head.py, called by BoundedResponse), so for both gateways, for orders and for reports. A malformed head is an answer that was lost: the connection is closed, the request is retried if it may run twice and gets 502 or 503 otherwise, and the log names the reason. RFC 9110 section 15 calls statuses outside 100 to 599 invalid.

Orders and reports on the platform already refused them; these cases stay as tests.

--- a/src/monsoonhinge/gateway/forward.py
+++ b/src/monsoonhinge/gateway/forward.py
@@ -10,6 +10,7 @@
 from monsoonhinge.runtime import errors
 from monsoonhinge.targets import bounded_http
 from monsoonhinge.targets import connections
+from monsoonhinge.targets import response_head
 from monsoonhinge.targets import single_send
 
 _CHUNK_BYTES = 64 * 1024
@@ -121,7 +122,8 @@
 
     Raises:
         NotSent: The target could not be reached.
-        AnswerLost: The connection failed after bytes may have been sent.
+        AnswerLost: The connection failed after bytes may have been sent, or
+            the head of the response is malformed.
     """
     try:
         return await session.request(
@@ -142,6 +144,10 @@
         raise NotSent(
             f"cannot connect: {error}", step=step, peer=address
         ) from error
+    except response_head.MalformedHeadError as error:
+        raise AnswerLost(
+            f"malformed answer: {error}", step=step, peer=address
+        ) from error
     except (aiohttp.ClientError, TimeoutError) as error:
         raise AnswerLost(
             f"no answer: {type(error).__name__}",
--- a/src/monsoonhinge/targets/bounded_http.py
+++ b/src/monsoonhinge/targets/bounded_http.py
@@ -18,6 +18,7 @@
 import aiohttp
 
 from monsoonhinge.targets import connections
+from monsoonhinge.targets import response_head
 
 # Responses with status 1xx that may precede a final response.
 _MAX_INTERIM_RESPONSES = 16
@@ -54,6 +55,7 @@
 
         Raises:
             EndlessResponse: Too many interim responses precede it.
+            response_head.MalformedHeadError: It is malformed.
         """
         self.transport = connection.transport
         protocol: Any = connection.protocol
@@ -70,6 +72,7 @@
             while left:
                 left -= 1
                 message, body = await read()
+                response_head.check(message)
                 if not (reused and self._answers_another(message.headers)):
                     return message, body
                 while not body.at_eof():
--- a/tests/soak/http11.py
+++ b/tests/soak/http11.py
@@ -2,9 +2,19 @@
 
 import asyncio
 import dataclasses
+import re
 
 _MAX_HEAD_BYTES = 2**20
 
+_RESPONSE_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9]{2} [\t\x20-\x7e]*\r\n"
+    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e]*\r\n)*\r\n"
+)
+
+
+class MalformedResponseError(Exception):
+    """The head of a response is no head of HTTP/1."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Message:
@@ -62,6 +72,7 @@
 
         Raises:
             OSError, EOFError: The response is missing or incomplete.
+            MalformedResponseError: The head of the response is malformed.
         """
         fields = {"Host": "h", "Content-Length": str(len(body))} | headers
         self._writer.write(encode(f"{method} {path} HTTP/1.1", fields, body))
@@ -90,8 +101,11 @@
 
     Raises:
         EOFError: The stream ended before the message was complete.
+        MalformedResponseError: The head of a response is malformed.
     """
     head = await reader.readuntil(b"\r\n\r\n")
+    if answers and not _RESPONSE_HEAD.fullmatch(head):
+        raise MalformedResponseError(repr(head))
     start, *lines = head.decode("latin-1").split("\r\n")[:-2]
     headers = {}
     for line in lines:
--- /dev/null
+++ b/tests/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of targets."""
--- /dev/null
+++ b/tests/targets/test_malformed_answers.py
@@ -0,0 +1,140 @@
+"""Tests of targets whose answers have a malformed head."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import uvloop
+
+from monsoonhinge.fleet import engine_client
+from monsoonhinge.gateway import forward
+from monsoonhinge.ingress import target_client
+from monsoonhinge.platform import engines
+from monsoonhinge.targets import http
+from monsoonhinge.targets import order_client
+from tests.targets import malformed_heads
+from tests.targets import raw_target
+
+_TIMEOUT_S = 2.0
+
+_Call = Callable[[str], Awaitable[object]]
+
+
+async def _gateway_request(address: str) -> bytes:
+    """Sends a request as the product's own gateway does."""
+    client = forward.TargetClient.create()
+    try:
+        response = await client.send(
+            forward.TargetRequest(
+                request_id=raw_target.REQUEST_ID,
+                address=address,
+                method="POST",
+                path="/",
+                headers={},
+                body=b"",
+                priority=0,
+                timeout_s=_TIMEOUT_S,
+            )
+        )
+        return b"".join([chunk async for chunk in response.chunks()])
+    finally:
+        await client.close()
+
+
+async def _ingress_request(address: str) -> bytes:
+    """Sends a request as the gateway of the platform does."""
+    client = target_client.TargetClient()
+    try:
+        response = await client.send(
+            method="POST",
+            address=address,
+            path="/",
+            headers={"X-Request-Id": raw_target.REQUEST_ID},
+            body=b"",
+            timeout_s=_TIMEOUT_S,
+        )
+        return await response.body()
+    finally:
+        await client.close()
+
+
+async def _report(address: str) -> engine_client.Report:
+    client = engines.PlatformEngineClient()
+    try:
+        return await client.report(
+            address=address, target="t", timeout_s=_TIMEOUT_S
+        )
+    finally:
+        await client.close()
+
+
+async def _platform_order(address: str) -> engine_client.OrderResponse:
+    client = engines.PlatformEngineClient()
+    try:
+        return await client.order(
+            address=address,
+            target="t",
+            order=engine_client.Order(
+                load=True,
+                model="m",
+                adapter="",
+                holder="h",
+                fencing=1,
+                expected_order_count=0,
+            ),
+            timeout_s=_TIMEOUT_S,
+        )
+    finally:
+        await client.close()
+
+
+async def _order(address: str) -> None:
+    client = http.HttpOrderClient()
+    try:
+        await client.send_order(
+            address,
+            order_client.Order(
+                fencing=1,
+                order_id="o",
+                action="load",
+                model="m",
+                model_version="1",
+            ),
+            timeout=_TIMEOUT_S,
+        )
+    finally:
+        await client.close()
+
+
+_CALLS: list[tuple[_Call, type[Exception]]] = [
+    (_gateway_request, forward.AnswerLost),
+    (_ingress_request, forward.AnswerLost),
+    (_report, engine_client.NoResponseError),
+    (_platform_order, engine_client.NoResponseError),
+    (_order, http.OrderUnknown),
+]
+_ALL_CALLS = pytest.mark.parametrize(("call", "error"), _CALLS)
+
+
+def _result(call: _Call, answer: bytes) -> object:
+    async def run() -> object:
+        async with raw_target.serve(answer) as address:
+            return await call(address)
+
+    return uvloop.run(run())
+
+
+@pytest.mark.parametrize("kind", malformed_heads.INVALID_STATUSES)
+@_ALL_CALLS
+def test_answer_without_a_valid_final_status_is_lost(
+    call: _Call, error: type[Exception], kind: str
+) -> None:
+    """Guards against status 000 as an answer, or as a confirmed order."""
+    answer = malformed_heads.INVALID_STATUSES[kind](raw_target.SOUND_ANSWER)
+    with pytest.raises(error):
+        _result(call, answer)
+
+
+@pytest.mark.parametrize("call", [_gateway_request, _ingress_request])
+def test_sound_answer_is_read(call: _Call) -> None:
+    """Guards against checks that refuse the answers of sound targets."""
+    assert _result(call, raw_target.SOUND_ANSWER) == raw_target.BODY
