--- a/tests/targets/malformed_heads.py
+++ b/tests/targets/malformed_heads.py
@@ -13,6 +13,41 @@
     return spoil
 
 
+def _with_last_line(line: bytes) -> Spoil:
+    def spoil(answer: bytes) -> bytes:
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return b"%b\r\n%b\r\n\r\n%b" % (head, line, body)
+
+    return spoil
+
+
+def _with_length_name(name: bytes) -> Spoil:
+    def spoil(answer: bytes) -> bytes:
+        return answer.replace(b"Content-Length:", name + b":")
+
+    return spoil
+
+
+def _with_chunks(line: bytes) -> Spoil:
+    """Returns a spoiler that sends the body in chunks, as a line tells."""
+
+    def spoil(answer: bytes) -> bytes:
+        head, _, body = answer.partition(b"\r\n\r\n")
+        lines = [
+            other
+            for other in head.split(b"\r\n")
+            if not other.startswith(b"Content-Length")
+        ]
+        head = b"\r\n".join([*lines, line])
+        return b"%b\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (
+            head,
+            len(body),
+            body,
+        )
+
+    return spoil
+
+
 INVALID_STATUSES: dict[str, Spoil] = {
     "status 000": _with_status(b"000 X"),
     "status 099": _with_status(b"099 X"),
@@ -21,4 +56,39 @@
     "status 101": _with_status(b"101 Switching Protocols"),
 }
 
-ALL: dict[str, Spoil] = INVALID_STATUSES
+INVALID_FIELDS: dict[str, Spoil] = {
+    "blank after Content-Length": _with_length_name(b"Content-Length "),
+    "blanks after Content-Length": _with_length_name(b"Content-Length  "),
+    "blank after Transfer-Encoding": _with_chunks(
+        b"Transfer-Encoding : chunked"
+    ),
+    "blank after Connection": _with_last_line(b"Connection : close"),
+    "blank after Proxy-Connection": _with_last_line(b"Proxy-Connection : x"),
+    "blank after Upgrade": _with_last_line(b"Upgrade : x"),
+    "blank after a name": _with_last_line(b"X-Name : x"),
+    "blank in a name": _with_last_line(b"X Name: x"),
+    "blank in Content-Length": _with_length_name(b"Content Length"),
+    "tab in a name": _with_last_line(b"X\tName: x"),
+    "tab after a name": _with_last_line(b"X-Name\t: x"),
+    "tab after Content-Length": _with_length_name(b"Content-Length\t"),
+    "control byte in a name": _with_last_line(b"X\x01Name: x"),
+    "control byte after a name": _with_last_line(b"X-Name\x1f: x"),
+    "control byte before Content-Length": _with_length_name(
+        b"\x08Content-Length"
+    ),
+    "control byte after Content-Length": _with_length_name(
+        b"Content-Length\x01"
+    ),
+    "NUL in a name": _with_last_line(b"X\x00Name: x"),
+    "CR in a name": _with_last_line(b"X\rName: x"),
+    "DEL in a name": _with_last_line(b"X\x7fName: x"),
+    "no name": _with_last_line(b": x"),
+    "no colon": _with_last_line(b"X-Name"),
+    "control byte in a value": _with_last_line(b"X-Name: a\x01b"),
+    "escape in a value": _with_last_line(b"X-Name: a\x1bb"),
+    "DEL in a value": _with_last_line(b"X-Name: a\x7fb"),
+    "NUL in a value": _with_last_line(b"X-Name: a\x00b"),
+    "CR in a value": _with_last_line(b"X-Name: a\rb"),
+}
+
+ALL: dict[str, Spoil] = INVALID_STATUSES | INVALID_FIELDS
