Take answers whose lines the parser joins or splits for lost

Callers saw: an answer of a target in trouble in whose head a name began with a blank or a tab. The line was passed on as a part of the field before it, and " Content-Length: 13" so left the body without its length; as the first line, the name was passed on without its blank. A bare LF before a name ended the head, so that the rest of it became the body. "RTSP/1.0 200 OK" and "HTTP/2.0 200 OK" were answers, too.

Cause: aiohttp's parser joins continuation lines, drops a blank after the status line, takes a bare LF among CRLFs for a line end, and takes other protocols for HTTP/1. What it hands on shows none of this: only the bytes of the head do.

Change: connections to targets check the lines of a head before they are parsed (targets/response_head.py, LineChecker; targets/connections.py). RFC 9112 section 5.2 lets a gateway refuse continuation lines, and section 2.2 asks it to refuse or drop a blank line start after the status line. Heads that end all lines with LF alone, and empty lines before a status line, pass as before. Engine clients and the product's order client get their connections from the same connector.

Not covered: the head of an answer that follows a late copy of an earlier one on the same connection has its status and fields checked, but not its lines.

--- a/src/monsoonhinge/platform/engines.py
+++ b/src/monsoonhinge/platform/engines.py
@@ -12,6 +12,7 @@
 from monsoonhinge.platform import registrations
 from monsoonhinge.platform import wire
 from monsoonhinge.targets import bounded_http
+from monsoonhinge.targets import connections
 from monsoonhinge.targets import single_send
 
 _MAX_RESPONSE_BYTES = 1024 * 1024
@@ -56,7 +57,7 @@
         # Responses to orders and reports name no request. Connections are not
         # reused, so that no late copy of one is taken for another.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=connections.CleanConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
             response_class=bounded_http.BoundedResponse,
             middlewares=(single_send.send_once,),
--- a/src/monsoonhinge/targets/connections.py
+++ b/src/monsoonhinge/targets/connections.py
@@ -1,4 +1,4 @@
-"""Reuse of connections to targets.
+"""Connections to targets, and their reuse.
 
 A target may send bytes that nobody asked for, such as a second copy of a
 response, on a connection that is kept for later requests. The id in a response
@@ -6,10 +6,16 @@
 again on that connection.
 """
 
+import asyncio
 import collections
+from collections.abc import Callable
+import functools
 from typing import Any
 
 import aiohttp
+from aiohttp import client_proto
+
+from monsoonhinge.targets import response_head
 
 REQUEST_ID = "X-Request-Id"
 
@@ -18,6 +24,32 @@
 _MAX_CARRIED_IDS = 32
 
 
+class CheckingProtocol(client_proto.ResponseHandler):
+    """Protocol of a connection that checks the lines of response heads."""
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._line_checker: response_head.LineChecker | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepares for the response to the next request."""
+        self._line_checker = response_head.LineChecker()
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Handles bytes of the target."""
+        if self._line_checker is not None:
+            try:
+                self._line_checker.feed(data)
+            except response_head.MalformedHeadError as error:
+                self._line_checker = None
+                if self.transport is not None:
+                    self.transport.abort()
+                self.set_exception(error)
+                return
+        super().data_received(data)
+
+
 class CleanConnector(aiohttp.TCPConnector):
     """Reuses only connections on which no unrequested byte has arrived.
 
@@ -26,6 +58,12 @@
     connection that has carried it before.
     """
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        protocol: Callable[..., client_proto.ResponseHandler] = CheckingProtocol
+        # aiohttp has no public way to choose the protocol of connections.
+        self._factory = functools.partial(protocol, loop=self._loop)
+
     async def connect(
         self,
         req: aiohttp.ClientRequest,
--- a/src/monsoonhinge/targets/http.py
+++ b/src/monsoonhinge/targets/http.py
@@ -6,6 +6,7 @@
 
 from monsoonhinge.runtime import errors
 from monsoonhinge.targets import bounded_http
+from monsoonhinge.targets import connections
 from monsoonhinge.targets import order_client
 from monsoonhinge.targets import single_send
 
@@ -27,7 +28,7 @@
         # Connections are not reused, so that no byte of an order can be sent
         # after its timeout.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True),
+            connector=connections.CleanConnector(force_close=True),
             response_class=bounded_http.BoundedResponse,
             middlewares=(single_send.send_once,),
         )
--- a/src/monsoonhinge/targets/response_head.py
+++ b/src/monsoonhinge/targets/response_head.py
@@ -1,7 +1,9 @@
 """Checks of the heads of responses.
 
 aiohttp reads responses leniently: it takes any three digits for a status,
-blanks after the names of some fields, and control bytes in values.
+blanks after the names of some fields, and control bytes in values. It also
+joins lines and takes other protocols for HTTP/1.1, which only the bytes of a
+head tell.
 """
 
 from collections.abc import Mapping
@@ -19,11 +21,52 @@
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_QUOTED_CHARACTERS = 40
 
+_HTTP_1 = b"HTTP/1."
+_LINE_ENDS = b"\r\n"
+_HEAD_END = re.compile(rb"\n\r?\n")
+_HEAD_END_BYTES = 3
+_INTERIM = re.compile(rb"HTTP/1\.. 1")
+_LEADING_BLANK = re.compile(rb"\n[ \t]")
+_BARE_LF = re.compile(rb"(?<!\r)\n")
+
 
 class MalformedHeadError(aiohttp.ClientError):
     """The head of a response is not one of HTTP/1.1; the rest is unusable."""
 
 
+class LineChecker:
+    """Checks the lines of the heads of one response as they arrive.
+
+    These are the heads of interim responses and the next one after them.
+    """
+
+    def __init__(self) -> None:
+        self._unchecked = bytearray()
+        self._complete = False
+
+    def feed(self, data: bytes) -> None:
+        """Checks the heads that end within some more bytes of the response.
+
+        Raises:
+            MalformedHeadError: A head is malformed.
+        """
+        if self._complete:
+            return
+        searched = max(0, len(self._unchecked) - _HEAD_END_BYTES)
+        self._unchecked += data
+        while end := _HEAD_END.search(self._unchecked, searched):
+            head = bytes(self._unchecked[: end.end()]).lstrip(_LINE_ENDS)
+            del self._unchecked[: end.end()]
+            searched = 0
+            if not head:
+                continue
+            _check_lines(head)
+            if not _INTERIM.match(head):
+                self._complete = True
+                self._unchecked.clear()
+                return
+
+
 def check(message: aiohttp.http.RawResponseMessage) -> None:
     """Checks the head of a response.
 
@@ -53,3 +96,13 @@
             )
         if _CONTROL_CHARACTER.search(value):
             raise MalformedHeadError(f"control character in {name}")
+
+
+def _check_lines(head: bytes) -> None:
+    if not head.startswith(_HTTP_1):
+        raise MalformedHeadError("another protocol than HTTP/1")
+    if _LEADING_BLANK.search(head):
+        raise MalformedHeadError("a line begins with a blank")
+    # A head whose lines all end with LF alone is unusual, but unambiguous.
+    if _LINE_ENDS in head and _BARE_LF.search(head):
+        raise MalformedHeadError("lines end in different ways")
--- a/tests/targets/malformed_heads.py
+++ b/tests/targets/malformed_heads.py
@@ -13,6 +13,22 @@
     return spoil
 
 
+def _with_protocol(protocol: bytes) -> Spoil:
+    def spoil(answer: bytes) -> bytes:
+        _, _, rest = answer.partition(b" ")
+        return b"%b %b" % (protocol, rest)
+
+    return spoil
+
+
+def _with_first_line(line: bytes) -> Spoil:
+    def spoil(answer: bytes) -> bytes:
+        status, _, rest = answer.partition(b"\r\n")
+        return b"%b\r\n%b\r\n%b" % (status, line, rest)
+
+    return spoil
+
+
 def _with_last_line(line: bytes) -> Spoil:
     def spoil(answer: bytes) -> bytes:
         head, _, body = answer.partition(b"\r\n\r\n")
@@ -91,4 +107,20 @@
     "CR in a value": _with_last_line(b"X-Name: a\rb"),
 }
 
-ALL: dict[str, Spoil] = INVALID_STATUSES | INVALID_FIELDS
+INVALID_LINES: dict[str, Spoil] = {
+    "blank before the first name": _with_first_line(b" X-Name: x"),
+    "blank before Content-Length": _with_length_name(b" Content-Length"),
+    "tab before Content-Length": _with_length_name(b"\tContent-Length"),
+    "blank before a name": _with_last_line(b" X-Name: x"),
+    "tab before a name": _with_last_line(b"\tX-Name: x"),
+    "line of blanks": _with_last_line(b"  "),
+    "LF before a name": _with_last_line(b"\nX-Name: x"),
+    "LF before Content-Length": _with_length_name(b"\nContent-Length"),
+    "LF in a name": _with_last_line(b"X\nName: x"),
+    "LF in a value": _with_last_line(b"X-Name: a\nX-Other: b"),
+    "other protocol": _with_protocol(b"RTSP/1.0"),
+    "other version": _with_protocol(b"HTTP/2.0"),
+    "no version": _with_protocol(b"HTTP"),
+}
+
+ALL: dict[str, Spoil] = INVALID_STATUSES | INVALID_FIELDS | INVALID_LINES
