Take answers in transfer codings that nothing undoes for lost

Callers saw: the answer of a target that says "Transfer-Encoding: gzip, chunked" came to them as a complete success whose body was still gzip, without a field that says so. With "chunked, gzip" and "xchunked" the same held, and a reset in the middle was not noticed: the word "chunked" in the value counted as an end of the body that is known.

Cause: the field concerns one connection and is dropped before an answer is passed on, as if its codings had been undone; the parser undoes chunks alone.

Change: only "chunked", and "identity", which changes nothing, are accepted.

--- a/src/monsoonhinge/targets/response_head.py
+++ b/src/monsoonhinge/targets/response_head.py
@@ -10,6 +10,7 @@
 import re
 
 import aiohttp
+import multidict
 
 _SWITCHING_PROTOCOLS = 101
 _MIN_STATUS = 100
@@ -21,6 +22,10 @@
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _MAX_QUOTED_CHARACTERS = 40
 
+# The parser undoes these codings of a body; identity, which is obsolete,
+# changes nothing.
+_KNOWN_CODINGS = frozenset({"chunked", "identity"})
+
 _HTTP_1 = b"HTTP/1."
 _LINE_ENDS = b"\r\n"
 _HEAD_END = re.compile(rb"\n\r?\n")
@@ -78,6 +83,7 @@
     """
     _check_status(message.code)
     _check_fields(message.headers)
+    _check_coding(message.headers)
 
 
 def _check_status(status: int) -> None:
@@ -98,6 +104,14 @@
             raise MalformedHeadError(f"control character in {name}")
 
 
+def _check_coding(headers: multidict.CIMultiDictProxy[str]) -> None:
+    codings = ",".join(headers.getall("Transfer-Encoding", ["identity"]))
+    if codings.strip().lower() not in _KNOWN_CODINGS:
+        raise MalformedHeadError(
+            f"unknown transfer coding {codings[:_MAX_QUOTED_CHARACTERS]!a}"
+        )
+
+
 def _check_lines(head: bytes) -> None:
     if not head.startswith(_HTTP_1):
         raise MalformedHeadError("another protocol than HTTP/1")
--- a/tests/targets/malformed_heads.py
+++ b/tests/targets/malformed_heads.py
@@ -1,6 +1,7 @@
 """Answers of targets in trouble, made from the bytes of sound ones."""
 
 from collections.abc import Callable
+import re
 
 Spoil = Callable[[bytes], bytes]
 
@@ -44,6 +45,13 @@
     return spoil
 
 
+def _with_length_line(line: bytes) -> Spoil:
+    def spoil(answer: bytes) -> bytes:
+        return re.sub(rb"Content-Length: \d+", line, answer)
+
+    return spoil
+
+
 def _with_chunks(line: bytes) -> Spoil:
     """Returns a spoiler that sends the body in chunks, as a line tells."""
 
@@ -123,4 +131,18 @@
     "no version": _with_protocol(b"HTTP"),
 }
 
-ALL: dict[str, Spoil] = INVALID_STATUSES | INVALID_FIELDS | INVALID_LINES
+UNKNOWN_CODINGS: dict[str, Spoil] = {
+    "gzip": _with_length_line(b"Transfer-Encoding: gzip"),
+    "gzip after chunked": _with_length_line(
+        b"Transfer-Encoding: chunked, gzip"
+    ),
+    "like chunked": _with_length_line(b"Transfer-Encoding: xchunked"),
+    "gzip in chunks": _with_chunks(b"Transfer-Encoding: gzip, chunked"),
+    "gzip in chunks, two lines": _with_chunks(
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"
+    ),
+}
+
+ALL: dict[str, Spoil] = (
+    INVALID_STATUSES | INVALID_FIELDS | INVALID_LINES | UNKNOWN_CODINGS
+)
--- a/tests/targets/test_malformed_answers.py
+++ b/tests/targets/test_malformed_answers.py
@@ -156,6 +156,17 @@
         _result(call, answer)
 
 
+@pytest.mark.parametrize("kind", malformed_heads.UNKNOWN_CODINGS)
+@_ALL_CALLS
+def test_answer_in_an_unknown_coding_is_lost(
+    call: _Call, error: type[Exception], kind: str
+) -> None:
+    """Guards against a body that is passed on encoded, without its coding."""
+    answer = malformed_heads.UNKNOWN_CODINGS[kind](raw_target.SOUND_ANSWER)
+    with pytest.raises(error):
+        _result(call, answer)
+
+
 @pytest.mark.parametrize("call", [_gateway_request, _ingress_request])
 def test_sound_answer_is_read(call: _Call) -> None:
     """Guards against checks that refuse the answers of sound targets."""
