Call the line end by its name in the head checks

Cause: _LINE_ENDS was used both as the two bytes that end a line and as a set of bytes to strip. _CRLF says what it is.

--- a/src/monsoonhinge/targets/response_head.py
+++ b/src/monsoonhinge/targets/response_head.py
@@ -27,7 +27,7 @@
 _KNOWN_CODINGS = frozenset({"chunked", "identity"})
 
 _HTTP_1 = b"HTTP/1."
-_LINE_ENDS = b"\r\n"
+_CRLF = b"\r\n"
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_END_BYTES = 3
 _INTERIM = re.compile(rb"HTTP/1\.. 1")
@@ -60,7 +60,7 @@
         searched = max(0, len(self._unchecked) - _HEAD_END_BYTES)
         self._unchecked += data
         while end := _HEAD_END.search(self._unchecked, searched):
-            head = bytes(self._unchecked[: end.end()]).lstrip(_LINE_ENDS)
+            head = bytes(self._unchecked[: end.end()]).lstrip(_CRLF)
             del self._unchecked[: end.end()]
             searched = 0
             if not head:
@@ -119,5 +119,5 @@
     if _LEADING_BLANK.search(head):
         raise MalformedHeadError("a line begins with a blank")
     # A head whose lines all end with LF alone is unusual, but unambiguous.
-    if _LINE_ENDS in head and _BARE_LF.search(head):
+    if _CRLF in head and _BARE_LF.search(head):
         raise MalformedHeadError("lines end in different ways")
