Compare each parsed head with the bytes that it comes from

Cause: the check ran on bytes, before the parser, and so would have needed the framing of bodies to find the next head.

Change: the connection keeps the bytes of a response until its final head has been read, and compares each head as it was parsed with them: the status line is one of HTTP/1, each line is one of the fields, in their order, and all lines end alike. So joined, split and shortened lines are found wherever a head stands. A late copy above 4 MiB is given up (answer lost), as its bytes are kept while it is skipped. All checks of heads now run where the connection reads them.

--- a/src/monsoonhinge/targets/bounded_http.py
+++ b/src/monsoonhinge/targets/bounded_http.py
@@ -18,7 +18,6 @@
 import aiohttp
 
 from monsoonhinge.targets import connections
-from monsoonhinge.targets import response_head
 
 # Responses with status 1xx that may precede a final response.
 _MAX_INTERIM_RESPONSES = 16
@@ -35,6 +34,8 @@
 class BoundedResponse(aiohttp.ClientResponse):
     """A response with a limited number of other responses before it.
 
+    Its connection must be one of a ``connections.CleanConnector``.
+
     Its connection can be closed even after the response was read: a short
     response is complete before its headers are checked, and aiohttp has
     returned its connection to the pool by then.
@@ -58,6 +59,7 @@
             response_head.MalformedHeadError: It is malformed.
         """
         self.transport = connection.transport
+        assert isinstance(connection.protocol, connections.CheckingProtocol)
         protocol: Any = connection.protocol
         self._watch_connection(protocol)
         reused = connections.is_reused(protocol)
@@ -72,7 +74,6 @@
             while left:
                 left -= 1
                 message, body = await read()
-                response_head.check(message.code, message.headers)
                 if not (reused and self._answers_another(message.headers)):
                     return message, body
                 while not body.at_eof():
@@ -86,6 +87,7 @@
             return await super().start(connection)
         finally:
             del protocol.read
+            protocol.end_of_heads()
 
     @property
     def is_delimited(self) -> bool:
--- a/src/monsoonhinge/targets/connections.py
+++ b/src/monsoonhinge/targets/connections.py
@@ -23,32 +23,51 @@
 _CARRIED_IDS = "monsoonhinge_carried_ids"
 _MAX_CARRIED_IDS = 32
 
+# Responses to earlier requests that a target sends again before the one that
+# is due.
+_MAX_BYTES_BEFORE_RESPONSE = 4 * 1024 * 1024
+
 
 class CheckingProtocol(client_proto.ResponseHandler):
-    """Protocol of a connection that checks the lines of response heads."""
+    """Protocol of a connection that checks the heads of responses."""
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self._line_checker: response_head.LineChecker | None = None
+        # Bytes after the last head that was read, until the final one.
+        self._received: bytearray | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Prepares for the response to the next request."""
-        self._line_checker = response_head.LineChecker()
+        self._received = bytearray()
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes of the target."""
-        if self._line_checker is not None:
-            try:
-                self._line_checker.feed(data)
-            except response_head.MalformedHeadError as error:
-                self._line_checker = None
-                if self.transport is not None:
-                    self.transport.abort()
-                self.set_exception(error)
-                return
+        if self._received is not None:
+            self._received += data
+            if len(self._received) > _MAX_BYTES_BEFORE_RESPONSE:
+                self._received = None
         super().data_received(data)
 
+    async def read(
+        self,
+    ) -> tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]:
+        """Returns the next head, with its body.
+
+        Raises:
+            response_head.MalformedHeadError: It is malformed.
+        """
+        message, body = await super().read()
+        response_head.check(message.code, message.headers)
+        if self._received is None:
+            raise response_head.MalformedHeadError("too many bytes before it")
+        del self._received[: response_head.find_end(message, self._received)]
+        return message, body
+
+    def end_of_heads(self) -> None:
+        """Tells that the final response to the request has begun."""
+        self._received = None
+
 
 class CleanConnector(aiohttp.TCPConnector):
     """Reuses only connections on which no unrequested byte has arrived.
--- a/src/monsoonhinge/targets/response_head.py
+++ b/src/monsoonhinge/targets/response_head.py
@@ -2,8 +2,8 @@
 
 aiohttp reads responses leniently: it takes any three digits for a status,
 blanks after the names of some fields, and control bytes in values. It also
-joins lines and takes other protocols for HTTP/1.1, which only the bytes of a
-head tell.
+joins lines and takes other protocols for HTTP/1.1, which only a comparison with
+the bytes of a head tells.
 """
 
 from collections.abc import Mapping
@@ -28,52 +28,15 @@
 
 _HTTP_1 = b"HTTP/1."
 _CRLF = b"\r\n"
-_HEAD_END = re.compile(rb"\n\r?\n")
-_HEAD_END_BYTES = 3
-_INTERIM = re.compile(rb"HTTP/1\.. 1")
-_LEADING_BLANK = re.compile(rb"\n[ \t]")
-_BARE_LF = re.compile(rb"(?<!\r)\n")
+_LF = b"\n"
 
 
 class MalformedHeadError(aiohttp.ClientError):
     """The head of a response is not one of HTTP/1.1; the rest is unusable."""
 
 
-class LineChecker:
-    """Checks the lines of the heads of one response as they arrive.
-
-    These are the heads of interim responses and the next one after them.
-    """
-
-    def __init__(self) -> None:
-        self._unchecked = bytearray()
-        self._complete = False
-
-    def feed(self, data: bytes) -> None:
-        """Checks the heads that end within some more bytes of the response.
-
-        Raises:
-            MalformedHeadError: A head is malformed.
-        """
-        if self._complete:
-            return
-        searched = max(0, len(self._unchecked) - _HEAD_END_BYTES)
-        self._unchecked += data
-        while end := _HEAD_END.search(self._unchecked, searched):
-            head = bytes(self._unchecked[: end.end()]).lstrip(_CRLF)
-            del self._unchecked[: end.end()]
-            searched = 0
-            if not head:
-                continue
-            _check_lines(head)
-            if not _INTERIM.match(head):
-                self._complete = True
-                self._unchecked.clear()
-                return
-
-
 def check(status: int, headers: multidict.CIMultiDictProxy[str]) -> None:
-    """Checks the head of an interim or a final response.
+    """Checks the status and the fields of an interim or a final response.
 
     Args:
         status: HTTP status.
@@ -87,6 +50,50 @@
     _check_coding(headers)
 
 
+def find_end(
+    message: aiohttp.http.RawResponseMessage, received: bytes | bytearray
+) -> int:
+    """Returns where a head ends within the bytes from which it was parsed.
+
+    Args:
+        message: The head as it was parsed.
+        received: Bytes of the connection; other responses may precede it.
+
+    Raises:
+        MalformedHeadError: The bytes hold no such head of HTTP/1.
+    """
+    start = received.find(_HTTP_1)
+    while start >= 0:
+        end = _end_if_equal(message, received, start)
+        if end is not None:
+            return end
+        start = received.find(_HTTP_1, start + 1)
+    raise MalformedHeadError("the lines of the head are not its fields")
+
+
+def _end_if_equal(
+    message: aiohttp.http.RawResponseMessage,
+    received: bytes | bytearray,
+    start: int,
+) -> int | None:
+    """Returns where a head ends if it has the fields of a parsed one."""
+    line_end = received.find(_LF, start)
+    # Lines that all end with LF alone are unusual, but unambiguous.
+    eol = _CRLF if received[line_end - 1 : line_end] == b"\r" else _LF
+    end = received.find(eol + eol, start)
+    if end < 0:
+        return None
+    status_line, *lines = bytes(received[start:end]).split(eol)
+    if status_line.split()[1:2] != [b"%03d" % message.code]:
+        return None
+    fields = (line.partition(b":") for line in lines)
+    if message.raw_headers != tuple(
+        (name, value.strip(b" \t")) for name, _, value in fields
+    ):
+        return None
+    return end + len(eol + eol)
+
+
 def _check_status(status: int) -> None:
     if not _MIN_STATUS <= status <= _MAX_STATUS:
         raise MalformedHeadError(f"invalid status {status:03}")
@@ -111,13 +118,3 @@
         raise MalformedHeadError(
             f"unknown transfer coding {codings[:_MAX_QUOTED_CHARACTERS]!a}"
         )
-
-
-def _check_lines(head: bytes) -> None:
-    if not head.startswith(_HTTP_1):
-        raise MalformedHeadError("another protocol than HTTP/1")
-    if _LEADING_BLANK.search(head):
-        raise MalformedHeadError("a line begins with a blank")
-    # A head whose lines all end with LF alone is unusual, but unambiguous.
-    if _CRLF in head and _BARE_LF.search(head):
-        raise MalformedHeadError("lines end in different ways")
--- a/tests/targets/raw_target.py
+++ b/tests/targets/raw_target.py
@@ -1,8 +1,9 @@
-"""A target that answers each request with given bytes."""
+"""A target that answers requests with given bytes."""
 
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import itertools
 
 # Id of the request that the answers name.
 REQUEST_ID = "r1"
@@ -15,14 +16,18 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(answer: bytes) -> AsyncIterator[str]:
-    """Yields the address of a target that answers all requests alike."""
+async def serve(*answers: bytes) -> AsyncIterator[str]:
+    """Yields the address of a target with answers for each connection.
+
+    Args:
+        answers: Answers to the requests on a connection, in turn.
+    """
 
     async def respond(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
+            for answer in itertools.cycle(answers):
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(answer)
         writer.close()
--- a/tests/targets/test_malformed_answers.py
+++ b/tests/targets/test_malformed_answers.py
@@ -46,19 +46,25 @@
     """Sends a request as the gateway of the platform does."""
     client = target_client.TargetClient()
     try:
-        response = await client.send(
-            method="POST",
-            address=address,
-            path="/",
-            headers={"X-Request-Id": raw_target.REQUEST_ID},
-            body=b"",
-            timeout_s=_TIMEOUT_S,
-        )
+        response = await _send(client, address, raw_target.REQUEST_ID)
         return await response.body()
     finally:
         await client.close()
 
 
+async def _send(
+    client: target_client.TargetClient, address: str, request_id: str
+) -> target_client.TargetResponse:
+    return await client.send(
+        method="POST",
+        address=address,
+        path="/",
+        headers={"X-Request-Id": request_id},
+        body=b"",
+        timeout_s=_TIMEOUT_S,
+    )
+
+
 async def _report(address: str) -> engine_client.Report:
     client = engines.PlatformEngineClient()
     try:
@@ -179,3 +185,49 @@
 def test_sound_answer_is_read(call: _Call) -> None:
     """Guards against checks that refuse the answers of sound targets."""
     assert _result(call, raw_target.SOUND_ANSWER) == raw_target.BODY
+
+
+def test_invalid_line_after_a_late_copy_is_found() -> None:
+    """Guards against a malformed head behind a second copy of an answer."""
+    copy = raw_target.SOUND_ANSWER
+    answer = raw_target.SOUND_ANSWER.replace(b": r1", b": r2")
+    spoil = malformed_heads.INVALID_LINES["blank before the first name"]
+
+    async def run() -> None:
+        async with raw_target.serve(copy, copy + spoil(answer)) as address:
+            client = target_client.TargetClient()
+            try:
+                response = await _send(client, address, "r1")
+                assert await response.body() == raw_target.BODY
+                with pytest.raises(forward.AnswerLost):
+                    await _send(client, address, "r2")
+            finally:
+                await client.close()
+
+    uvloop.run(run())
+
+
+def test_late_copy_without_a_bound_is_given_up() -> None:
+    """Guards against a gateway that keeps a late copy of any size."""
+    size_bytes = 8 * 1024 * 1024
+    length = b"Content-Length: %d" % len(raw_target.BODY)
+    copy = raw_target.SOUND_ANSWER.replace(
+        length, b"Content-Length: %d" % size_bytes
+    )
+    copy = copy.removesuffix(raw_target.BODY) + bytes(size_bytes)
+    answer = raw_target.SOUND_ANSWER.replace(b": r1", b": r2")
+
+    async def run() -> None:
+        async with raw_target.serve(
+            raw_target.SOUND_ANSWER, copy + answer
+        ) as address:
+            client = target_client.TargetClient()
+            try:
+                response = await _send(client, address, "r1")
+                assert await response.body() == raw_target.BODY
+                with pytest.raises(forward.AnswerLost):
+                    await _send(client, address, "r2")
+            finally:
+                await client.close()
+
+    uvloop.run(run())
