Let targets of the soak send malformed heads

Change: a fault "malformed" with all kinds of tests/targets/malformed_heads.py; callers accept only heads of HTTP/1, and a signature only with status 200.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -70,6 +70,10 @@
         try:
             async with asyncio.timeout(patience_s):
                 response = await self._exchange(call)
+        except http11.MalformedResponseError as error:
+            call.malformed_head = str(error)
+            self._drop(call.gateway)
+            return call
         except (OSError, EOFError, TimeoutError) as error:
             call.error = type(error).__name__
             call.ended_at = asyncio.get_running_loop().time()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -43,6 +43,7 @@
         status: Status of the complete response, or 0 without one.
         body: Body of the response.
         signature: Signature of the target in the response, or "".
+        malformed_head: Head of a response that is no HTTP, or "".
         error: Why there is no complete response, or "".
         ended_at: Time at which the response was complete or the call failed.
     """
@@ -56,6 +57,7 @@
     status: int = 0
     body: bytes = b""
     signature: str = ""
+    malformed_head: str = ""
     error: str = ""
     ended_at: float = 0.0
 
@@ -86,6 +88,8 @@
         for call in self.calls.values():
             if call.status == 200 and call.request_id not in self.runs:
                 lines.append(f"MIXED no target ran {call}")
+            if call.malformed_head or (call.signature and call.status != 200):
+                lines.append(f"MIXED {call}: {self.runs[call.request_id]}")
         return lines
 
     def lost_calls(self) -> list[str]:
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -12,6 +12,7 @@
 
 from tests.soak import http11
 from tests.soak import record as records
+from tests.targets import malformed_heads
 
 _SLOTS = 6
 _QUEUE = 4
@@ -32,6 +33,7 @@
         closed: Runs, then its connection is closed without an answer.
         late: Runs, and the answer comes after the caller's deadline.
         truncated: Runs, and the answer ends early.
+        malformed: Runs, and the head of the answer is malformed.
         unstated: Runs, and the answer is a 503 that states nothing of that.
         repeated: Runs, and a second copy of the answer comes at the point at
             which the next one on the connection is due.
@@ -46,6 +48,7 @@
     closed: float = 0.0
     late: float = 0.0
     truncated: float = 0.0
+    malformed: float = 0.0
     unstated: float = 0.0
     repeated: float = 0.0
     rejected: float = 0.0
@@ -240,6 +243,7 @@
             "closed",
             "late",
             "truncated",
+            "malformed",
             "unstated",
             "repeated",
         )
@@ -258,6 +262,10 @@
             case "truncated":
                 writer.write(answer[: self._rng.randrange(len(answer))])
                 raise ConnectionAbortedError
+            case "malformed":
+                spoil = self._rng.choice(list(malformed_heads.ALL.values()))
+                writer.write(spoil(answer))
+                return b""
         if request.path.startswith("/stream/"):
             await _write_slowly(writer, answer)
         else:
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -21,6 +21,7 @@
     targets.Faults(closed=0.4),
     targets.Faults(late=0.2, slow_s=0.3),
     targets.Faults(truncated=0.3, dropped=0.2),
+    targets.Faults(malformed=0.5),
     targets.Faults(unstated=0.3),
     targets.Faults(repeated=0.5, rejected=0.2),
     targets.Faults(rejected_twice=0.5, reset=0.2),
