Share the checks of the tests of malformed heads

Cause: four tests had the same body, and two the same exchange behind a late copy. Each now states its failure and its heads only; what is checked is the same. tests/targets, bench/test_caller and the tests of both gateways: 403 passed.

--- a/tests/targets/malformed_heads.py
+++ b/tests/targets/malformed_heads.py
@@ -1,4 +1,7 @@
-"""Answers of targets in trouble, made from the bytes of sound ones."""
+"""Answers of targets in trouble, made from the bytes of sound ones.
+
+A spoiler that changes the length leaves an answer without a length as it is.
+"""
 
 from collections.abc import Callable
 import re
@@ -63,11 +66,8 @@
             if not other.startswith(b"Content-Length")
         ]
         head = b"\r\n".join([*lines, line])
-        return b"%b\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (
-            head,
-            len(body),
-            body,
-        )
+        chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        return head + b"\r\n\r\n" + chunks
 
     return spoil
 
--- a/tests/targets/test_malformed_answers.py
+++ b/tests/targets/test_malformed_answers.py
@@ -18,6 +18,11 @@
 
 _TIMEOUT_S = 2.0
 
+_SECOND_ID = "r2"
+_SECOND_ANSWER = raw_target.SOUND_ANSWER.replace(
+    raw_target.REQUEST_ID.encode(), _SECOND_ID.encode()
+)
+
 _Call = Callable[[str], Awaitable[object]]
 
 
@@ -137,15 +142,20 @@
     return uvloop.run(run())
 
 
+def _check_lost(
+    call: _Call, error: type[Exception], spoil: malformed_heads.Spoil
+) -> None:
+    with pytest.raises(error):
+        _result(call, spoil(raw_target.SOUND_ANSWER))
+
+
 @pytest.mark.parametrize("kind", malformed_heads.INVALID_STATUSES)
 @_ALL_CALLS
 def test_answer_without_a_valid_final_status_is_lost(
     call: _Call, error: type[Exception], kind: str
 ) -> None:
     """Guards against status 000 as an answer, or as a confirmed order."""
-    answer = malformed_heads.INVALID_STATUSES[kind](raw_target.SOUND_ANSWER)
-    with pytest.raises(error):
-        _result(call, answer)
+    _check_lost(call, error, malformed_heads.INVALID_STATUSES[kind])
 
 
 @pytest.mark.parametrize("kind", malformed_heads.INVALID_FIELDS)
@@ -154,9 +164,7 @@
     call: _Call, error: type[Exception], kind: str
 ) -> None:
     """Guards against a blank or a control byte that is passed on."""
-    answer = malformed_heads.INVALID_FIELDS[kind](raw_target.SOUND_ANSWER)
-    with pytest.raises(error):
-        _result(call, answer)
+    _check_lost(call, error, malformed_heads.INVALID_FIELDS[kind])
 
 
 @pytest.mark.parametrize("kind", malformed_heads.INVALID_LINES)
@@ -165,9 +173,7 @@
     call: _Call, error: type[Exception], kind: str
 ) -> None:
     """Guards against lines that become a part of other fields or the body."""
-    answer = malformed_heads.INVALID_LINES[kind](raw_target.SOUND_ANSWER)
-    with pytest.raises(error):
-        _result(call, answer)
+    _check_lost(call, error, malformed_heads.INVALID_LINES[kind])
 
 
 @pytest.mark.parametrize("kind", malformed_heads.UNKNOWN_CODINGS)
@@ -176,9 +182,7 @@
     call: _Call, error: type[Exception], kind: str
 ) -> None:
     """Guards against a body that is passed on encoded, without its coding."""
-    answer = malformed_heads.UNKNOWN_CODINGS[kind](raw_target.SOUND_ANSWER)
-    with pytest.raises(error):
-        _result(call, answer)
+    _check_lost(call, error, malformed_heads.UNKNOWN_CODINGS[kind])
 
 
 @pytest.mark.parametrize("call", [_gateway_request, _ingress_request])
@@ -187,47 +191,35 @@
     assert _result(call, raw_target.SOUND_ANSWER) == raw_target.BODY
 
 
-def test_invalid_line_after_a_late_copy_is_found() -> None:
-    """Guards against a malformed head behind a second copy of an answer."""
-    copy = raw_target.SOUND_ANSWER
-    answer = raw_target.SOUND_ANSWER.replace(b": r1", b": r2")
-    spoil = malformed_heads.INVALID_LINES["blank before the first name"]
+def _check_second_answer_lost(copy: bytes, answer: bytes) -> None:
+    """Checks that an answer behind a copy of the first answer is lost."""
 
     async def run() -> None:
-        async with raw_target.serve(copy, copy + spoil(answer)) as address:
+        async with raw_target.serve(
+            raw_target.SOUND_ANSWER, copy + answer
+        ) as address:
             client = target_client.TargetClient()
             try:
-                response = await _send(client, address, "r1")
+                response = await _send(client, address, raw_target.REQUEST_ID)
                 assert await response.body() == raw_target.BODY
                 with pytest.raises(forward.AnswerLost):
-                    await _send(client, address, "r2")
+                    await _send(client, address, _SECOND_ID)
             finally:
                 await client.close()
 
     uvloop.run(run())
 
 
+def test_invalid_line_after_a_late_copy_is_found() -> None:
+    """Guards against a malformed head behind a second copy of an answer."""
+    spoil = malformed_heads.INVALID_LINES["blank before the first name"]
+    _check_second_answer_lost(raw_target.SOUND_ANSWER, spoil(_SECOND_ANSWER))
+
+
 def test_late_copy_without_a_bound_is_given_up() -> None:
     """Guards against a gateway that keeps a late copy of any size."""
     size_bytes = 8 * 1024 * 1024
-    length = b"Content-Length: %d" % len(raw_target.BODY)
-    copy = raw_target.SOUND_ANSWER.replace(
-        length, b"Content-Length: %d" % size_bytes
+    head = raw_target.SOUND_ANSWER.removesuffix(raw_target.BODY).replace(
+        b"Length: %d" % len(raw_target.BODY), b"Length: %d" % size_bytes
     )
-    copy = copy.removesuffix(raw_target.BODY) + bytes(size_bytes)
-    answer = raw_target.SOUND_ANSWER.replace(b": r1", b": r2")
-
-    async def run() -> None:
-        async with raw_target.serve(
-            raw_target.SOUND_ANSWER, copy + answer
-        ) as address:
-            client = target_client.TargetClient()
-            try:
-                response = await _send(client, address, "r1")
-                assert await response.body() == raw_target.BODY
-                with pytest.raises(forward.AnswerLost):
-                    await _send(client, address, "r2")
-            finally:
-                await client.close()
-
-    uvloop.run(run())
+    _check_second_answer_lost(head + bytes(size_bytes), _SECOND_ANSWER)
