Log how old the configuration behind each answer is

Cause: an answer 401 or 404 named the version that decided, but not how long ago that version was known to be the newest, nor whether the gateway already knew of a newer one.

Change: refusal lines have newest_config and staleness_s, request lines have staleness_s, config_in_force has the previous version, the kind of update, the member and an upper bound of the lag, and a member logs config_sent for each

--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -9,6 +9,7 @@
 from typing import Any, TypeVar
 
 from monsoonhinge.config import view as config_view
+from monsoonhinge.control import config_freshness
 from monsoonhinge.control import leader_discovery
 from monsoonhinge.control import subscription
 from monsoonhinge.protocol import codec
@@ -18,6 +19,7 @@
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import clock
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
 from monsoonhinge.runtime import settings
 
 # Time limit of a request to one member; after it the next member is tried.
@@ -152,7 +154,15 @@
         Args:
             now: Current time of the event loop.
         """
-        return self._subscription.staleness(now + clock.suspended_s())
+        return self.freshness(now).staleness_s
+
+    def freshness(self, now: float) -> config_freshness.Freshness:
+        """Returns what is known of the age of the configuration.
+
+        Args:
+            now: Current time of the event loop.
+        """
+        return self._subscription.freshness(now + clock.suspended_s())
 
     async def propose(
         self,
@@ -280,6 +290,10 @@
         peer = self.peers.get(self.watched_member)
         if peer is None or peer.connection is not link:
             return None
+        previous_version = self.view.version
+        max_lag_s = self.freshness(
+            asyncio.get_running_loop().time()
+        ).loggable_staleness_s
         try:
             installed = self._subscription.receive(self.watched_member, message)
         except errors.ProtocolError as error:
@@ -290,6 +304,14 @@
             )
             return None
         if installed:
+            events.emit(
+                events.CONFIG,
+                version=self.view.version,
+                previous=previous_version,
+                update=type(message).__name__,
+                member=self.watched_member,
+                max_lag_s=max_lag_s,
+            )
             link.notify(messages.InForce(version=self.view.version))
             if self._listener is not None:
                 self._listener.config_changed(self.view)
--- a/src/monsoonhinge/control/config_feed.py
+++ b/src/monsoonhinge/control/config_feed.py
@@ -17,6 +17,7 @@
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
 
 # Small enough that probes between two parts are answered within a second over
 # a link of 5 Mbit/s.
@@ -129,11 +130,26 @@
         """Sends snapshots until the watcher has been sent the newest one."""
         while watcher.sent != self._state.version:
             version = self._state.version
+            started_at = asyncio.get_running_loop().time()
+            size_bytes = 0
             for part in self._snapshot_parts():
                 if not self._send(link, part):
                     watcher.task = None
                     return
+                size_bytes += sum(map(len, part.objects))
                 await link.drain()
+            events.emit(
+                events.CONFIG_SENT,
+                subscriber=link.peer_hello.node,
+                update="snapshot",
+                base=watcher.sent,
+                version=version,
+                newest=self._state.version,
+                bytes=size_bytes,
+                seconds=round(
+                    asyncio.get_running_loop().time() - started_at, 3
+                ),
+            )
             watcher.sent = version
         watcher.task = None
 
--- a/src/monsoonhinge/control/subscription.py
+++ b/src/monsoonhinge/control/subscription.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from monsoonhinge.control import config_freshness
 from monsoonhinge.control import mirror
 from monsoonhinge.runtime import errors
 
@@ -55,12 +56,15 @@
         watched_member: Member that is watched; empty without one.
         fresh_at: Everything committed before this time is in effect here;
             None before the first confirmation.
+        newest_version: Newest version that a leader has confirmed; 0 before
+            the first confirmation.
     """
 
     def __init__(self, *, members: Sequence[str], rng: random.Random) -> None:
         self.mirror = mirror.Mirror()
         self.watched_member = ""
         self.fresh_at: float | None = None
+        self.newest_version = 0
         # The random order spreads the subscribers over the members.
         self._member_order = rng.sample(list(members), len(members))
         self._abandoned_at: dict[str, float] = {}
@@ -84,6 +88,14 @@
         """Returns the time since the configuration was known to be current."""
         return float("inf") if self.fresh_at is None else now - self.fresh_at
 
+    def freshness(self, now: float) -> config_freshness.Freshness:
+        """Returns what is known of the age of the configuration."""
+        return config_freshness.Freshness(
+            version=self.mirror.view.version,
+            newest_version=self.newest_version,
+            staleness_s=self.staleness(now),
+        )
+
     def tick(self, now: float, connected: Collection[str]) -> list[Action]:
         """Returns the actions to perform now.
 
@@ -151,6 +163,7 @@
         after ``sent_at``, whichever member relayed the probe.
         """
         self._pending_probes.discard(sent_at)
+        self.newest_version = max(self.newest_version, version)
         self._unapplied_replies.append((sent_at, version))
         self._update_freshness()
 
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -164,7 +164,6 @@
 
     def config_changed(self, view: Any) -> None:
         """Applies a new configuration and requests a plan."""
-        events.emit(events.CONFIG, version=view.version)
         self.registrar.configure(view.ingress_services)
         self.budgets.configure(view)
         self._plan_requested.set()
--- a/src/monsoonhinge/ingress/admission.py
+++ b/src/monsoonhinge/ingress/admission.py
@@ -6,6 +6,7 @@
 from monsoonhinge.config import ingress as objects
 from monsoonhinge.config import schema
 from monsoonhinge.config import view as config_view
+from monsoonhinge.control import config_freshness
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import refusal
@@ -22,7 +23,7 @@
         key_hash: Hash of the caller's key, or "".
         priority: Priority, 0 is served first.
         tokens: Tokens that the team is charged.
-        version: Version of the configuration that was applied.
+        freshness: Version and age of the configuration that was applied.
     """
 
     route: objects.IngressRoute
@@ -31,7 +32,7 @@
     key_hash: str
     priority: int
     tokens: int
-    version: int
+    freshness: config_freshness.Freshness
 
     @property
     def retryable(self) -> bool:
@@ -77,7 +78,7 @@
         parsed: dialect.ParsedRequest,
         *,
         view: config_view.View,
-        staleness_s: float,
+        freshness: config_freshness.Freshness,
     ) -> AdmittedRequest:
         """Returns the route, team and cost of a request.
 
@@ -93,7 +94,9 @@
             raise refusal.Refusal(refusal.Reason.UNKNOWN_ROUTE, step="admit")
         team, key_hash = None, ""
         if view.ingress_limits.keys_required and not route.public:
-            team, key_hash = self._authenticate(parsed, view, staleness_s)
+            team, key_hash = self._authenticate(
+                parsed, view, freshness.staleness_s
+            )
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -104,7 +107,7 @@
             key_hash=key_hash,
             priority=priority,
             tokens=_token_cost(parsed, team),
-            version=view.version,
+            freshness=freshness,
         )
 
     def still_authorized(
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -255,8 +255,7 @@
         }
 
     def config_changed(self, view: config_view.View) -> None:
-        """Logs a new configuration and dispatches waiting requests."""
-        events.emit(events.CONFIG, version=view.version)
+        """Dispatches waiting requests under a new configuration."""
         self.wait_queue.fail_each(lambda queued: queued.authorization_error())
         self._dispatch_waiting()
 
--- a/src/monsoonhinge/ingress/request_events.py
+++ b/src/monsoonhinge/ingress/request_events.py
@@ -40,7 +40,7 @@
         running=target.running_count(),
         running_elsewhere=target.running_all_gateways,
         fencing=fencing,
-        config=admitted.version,
+        config=admitted.freshness.version,
         waited_s=round(waited_s, 4),
         head_s=round(head_s, 4),
         status=status,
--- a/src/monsoonhinge/ingress/request_handler.py
+++ b/src/monsoonhinge/ingress/request_handler.py
@@ -161,9 +161,7 @@
         return self._admission.admit(
             parsed,
             view=self._client.view,
-            staleness_s=self._client.staleness(
-                asyncio.get_running_loop().time()
-            ),
+            freshness=self._client.freshness(asyncio.get_running_loop().time()),
         )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
@@ -195,6 +193,7 @@
         self, request_id: str, error: refusal.Refusal
     ) -> web.Response:
         wait_s = error.retry_after_s
+        freshness = self._client.freshness(asyncio.get_running_loop().time())
         events.emit(
             events.REFUSAL,
             request_id=request_id,
@@ -203,7 +202,9 @@
             peer=error.peer,
             status=error.status,
             retry_after_s=None if wait_s is None else round(wait_s, 3),
-            config=self._client.view.version,
+            config=freshness.version,
+            newest_config=freshness.newest_version,
+            staleness_s=freshness.loggable_staleness_s,
         )
         metrics.REFUSALS.labels(error.reason.value).inc()
         headers = {"X-Request-Id": request_id} if request_id else {}
@@ -247,7 +248,8 @@
             rejected=executor.budget.rejections,
             first_byte_s=first_byte_s,
             total_s=round(now - arrived_at, 4),
-            config=executor.admitted.version,
+            config=executor.admitted.freshness.version,
+            staleness_s=executor.admitted.freshness.loggable_staleness_s,
             outcome=outcome,
         )
 
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -11,6 +11,7 @@
 from monsoonhinge.config import ingress as objects
 from monsoonhinge.config import schema
 from monsoonhinge.config import view as config_view
+from monsoonhinge.control import config_freshness
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import load_balancer
@@ -79,11 +80,21 @@
     )
 
 
+def _freshness(
+    staleness_s: float, *, version: int = 1, newest_version: int = 1
+) -> config_freshness.Freshness:
+    return config_freshness.Freshness(
+        version=version,
+        newest_version=newest_version,
+        staleness_s=staleness_s,
+    )
+
+
 def _reason(
     parsed: dialect.ParsedRequest, view: config_view.View, staleness_s: float
 ) -> str:
     with pytest.raises(refusal.Refusal) as caught:
-        _admission().admit(parsed, view=view, staleness_s=staleness_s)
+        _admission().admit(parsed, view=view, freshness=_freshness(staleness_s))
     return caught.value.reason.value
 
 
@@ -122,7 +133,7 @@
     view = _view(_route("a", "/a/"))
     admission_control = _admission()
     admitted = admission_control.admit(
-        _parsed_request(), view=view, staleness_s=0.0
+        _parsed_request(), view=view, freshness=_freshness(0.0)
     )
     assert admission_control.still_authorized(
         admitted, view=view, staleness_s=1.0
@@ -140,7 +151,7 @@
     """Guards against a key check on a public route."""
     view = _view(_route("a", "/a/", public=True))
     admitted = _admission().admit(
-        _parsed_request(key=None), view=view, staleness_s=99.0
+        _parsed_request(key=None), view=view, freshness=_freshness(99.0)
     )
     assert admitted.team is None
     assert admitted.tokens == 0
@@ -158,7 +169,7 @@
     admission_control = _admission()
     names = {
         admission_control.admit(
-            _parsed_request(), view=view, staleness_s=0.0
+            _parsed_request(), view=view, freshness=_freshness(0.0)
         ).service.name
         for _ in range(50)
     }
--- a/tests/ingress/test_quota.py
+++ b/tests/ingress/test_quota.py
@@ -7,6 +7,7 @@
 
 from monsoonhinge.config import ingress as objects
 from monsoonhinge.config import schema
+from monsoonhinge.control import config_freshness
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import quota
 from monsoonhinge.ingress import token_reservation
@@ -98,7 +99,9 @@
         key_hash="k",
         priority=1,
         tokens=tokens,
-        version=1,
+        freshness=config_freshness.Freshness(
+            version=1, newest_version=1, staleness_s=0.0
+        ),
     )
     return token_reservation.TokenReservation(
         token_quota=gateway,
