Send watchers of the configuration only what they lack

Cause: a watcher that lacked one version, or got a change above 128 KiB, was sent the whole configuration; when it was through, the version had moved on and it was sent another one. Bytes grew with the configuration instead of with the change.

Watchers of older builds get whole messages as before.

--- a/src/monsoonhinge/config/delta.py
+++ b/src/monsoonhinge/config/delta.py
@@ -35,6 +35,24 @@
             map(len, self.deletes)
         )
 
+    def followed_by(self, later: "Delta") -> "Delta":
+        """Returns one change in place of this one and a later one."""
+        deleted = set(later.deletes)
+        kept = {
+            key: data
+            for key, data in self.upserts.items()
+            if key not in deleted
+        }
+        still_deleted = [
+            key
+            for key in self.deletes
+            if key not in later.upserts and key not in deleted
+        ]
+        return Delta(
+            upserts=kept | later.upserts,
+            deletes=still_deleted + later.deletes,
+        )
+
     def apply(self, objects: Mapping[str, bytes]) -> dict[str, bytes]:
         """Returns the set of objects after this change."""
         result = dict(objects)
--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -359,6 +359,7 @@
                     subscriber=self.identity.node,
                     role=self.identity.role,
                     version=version,
+                    reads_packed_parts=True,
                 ),
                 messages.Ack,
                 timeout=subscription.SWITCH_MEMBER_AFTER_S,
--- a/src/monsoonhinge/control/config_feed.py
+++ b/src/monsoonhinge/control/config_feed.py
@@ -1,17 +1,20 @@
 """Sends the configuration to the processes that watch it.
 
-A small change is sent as one delta. A large one, and the configuration of a new
-watcher, is sent as a snapshot in parts, each only once the watcher has read
-most of the earlier ones. The size of a message and the unsent bytes of a
-watcher are therefore independent of the size of the configuration.
+A watcher is sent what it lacks: the changes since the version that it has, or
+the whole configuration if these are not known or larger. What does not fit one
+message is sent in parts, each only once the watcher has read most of the
+earlier ones. The size of a message and the unsent bytes of a watcher are
+therefore independent of the size of the configuration, and a watcher that is
+behind catches up although the configuration keeps changing.
 """
 
 import asyncio
-from collections.abc import Iterator
 import dataclasses
 import logging
 
 from monsoonhinge.config import delta
+from monsoonhinge.control import config_history
+from monsoonhinge.control import config_updates
 from monsoonhinge.control import metrics
 from monsoonhinge.control import state_machine
 from monsoonhinge.protocol import connection
@@ -19,10 +22,6 @@
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import events
 
-# Small enough that probes between two parts are answered within a second over
-# a link of 5 Mbit/s.
-_PART_BYTES = 128 * 1024
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -33,16 +32,32 @@
     Attributes:
         in_effect: Version that it has reported to be in effect.
         sent: Latest version that was sent to it completely.
-        task: Sends it a snapshot, or None.
+        reads_packed_parts: Whether its build reads deltas in several parts
+            and compressed objects.
+        task: Sends it an update in parts, or None.
     """
 
     in_effect: int
     sent: int
+    reads_packed_parts: bool
     task: asyncio.Task[None] | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _UpdateKey:
+    """What the parts of an update to the version in effect depend on.
+
+    Attributes:
+        base: Version that the watcher has, or None for a snapshot.
+        packed: Whether objects are compressed.
+    """
+
+    base: int | None
+    packed: bool
+
+
 class ConfigFeed:
-    """Sends snapshots and deltas to watchers.
+    """Sends the configuration and its changes to watchers.
 
     Attributes:
         watchers: Watchers by connection.
@@ -51,18 +66,27 @@
     def __init__(self, state: state_machine.StateMachine) -> None:
         self.watchers: dict[connection.Connection, _Watcher] = {}
         self._state = state
+        self._history = config_history.ConfigHistory()
+        # Updates to the version in effect.
+        self._updates: dict[_UpdateKey, config_updates.SharedParts] = {}
 
-    def watch(self, link: connection.Connection, version: int) -> None:
-        """Adds a watcher and sends it the configuration if it is outdated.
+    def watch(
+        self, link: connection.Connection, message: messages.Watch
+    ) -> None:
+        """Adds a watcher and sends it what it lacks.
 
         Args:
             link: Connection to the watching process.
-            version: Version in effect at the watching process.
+            message: The subscription, with the version in effect there.
         """
         self.unwatch(link)
-        self.watchers[link] = _Watcher(in_effect=version, sent=version)
-        if version != self._state.version:
-            self._start_snapshot(link)
+        watcher = _Watcher(
+            in_effect=message.version,
+            sent=message.version,
+            reads_packed_parts=message.reads_packed_parts,
+        )
+        self.watchers[link] = watcher
+        self._update(link, watcher)
 
     def unwatch(self, link: connection.Connection) -> None:
         """Removes a watcher; an unknown connection is ignored."""
@@ -84,88 +108,138 @@
         return 0 if watcher is None else watcher.in_effect
 
     def push_change(
-        self, old_version: int, old_objects: dict[str, bytes], *, index: int
+        self, old_version: int, old_objects: dict[str, bytes]
     ) -> None:
         """Sends a change of the configuration to all watchers.
 
         Args:
             old_version: Version before the change.
             old_objects: Objects of that version.
-            index: Log index of the change.
         """
         change = delta.Delta.between(old_objects, self._state.objects)
-        message = messages.ConfigDelta(
-            base=old_version,
-            version=self._state.version,
-            index=index,
-            upserts=list(change.upserts.values()),
-            deletes=change.deletes,
-        )
-        is_small = change.size_bytes <= _PART_BYTES
-        for link, watcher in list(self.watchers.items()):
-            if watcher.task is not None:
-                # It sends the newest version once it has sent its snapshot.
-                continue
-            if is_small and watcher.sent == old_version:
-                if self._send(link, message):
-                    watcher.sent = message.version
-            else:
-                self._start_snapshot(link)
+        self._history.append(old_version, self._state.version, change)
+        self._update_all()
 
     def push_snapshots(self) -> None:
-        """Sends the configuration to all watchers."""
+        """Sends a configuration that replaces all to all watchers."""
+        self._history.clear()
+        self._update_all()
+
+    def _update_all(self) -> None:
+        self._updates.clear()
         for link, watcher in list(self.watchers.items()):
-            if watcher.task is None:
-                self._start_snapshot(link)
+            self._update(link, watcher)
 
-    def _start_snapshot(self, link: connection.Connection) -> None:
-        watcher = self.watchers[link]
-        watcher.task = asyncio.get_running_loop().create_task(
-            self._send_snapshots(link, watcher)
+    def _update(self, link: connection.Connection, watcher: _Watcher) -> None:
+        """Sends a watcher what it lacks, unless that is in progress."""
+        if watcher.task is not None or watcher.sent >= self._state.version:
+            return
+        change = self._history.since(watcher.sent)
+        if change is None or change.size_bytes > config_updates.PART_BYTES:
+            watcher.task = asyncio.get_running_loop().create_task(
+                self._send_updates(link, watcher)
+            )
+            return
+        message = config_updates.delta_message(
+            change,
+            base=watcher.sent,
+            version=self._state.version,
+            index=self._state.index,
         )
+        if self._send(link, message):
+            watcher.sent = message.version
 
-    async def _send_snapshots(
+    async def _send_updates(
         self, link: connection.Connection, watcher: _Watcher
     ) -> None:
-        """Sends snapshots until the watcher has been sent the newest one."""
-        while watcher.sent != self._state.version:
-            version = self._state.version
-            started_at = asyncio.get_running_loop().time()
-            size_bytes = 0
-            for part in self._snapshot_parts():
-                if not self._send(link, part):
-                    watcher.task = None
-                    return
-                size_bytes += sum(map(len, part.objects))
-                await link.drain()
-            events.emit(
-                events.CONFIG_SENT,
-                subscriber=link.peer_hello.node,
-                update="snapshot",
-                base=watcher.sent,
-                version=version,
-                newest=self._state.version,
-                bytes=size_bytes,
-                seconds=round(
-                    asyncio.get_running_loop().time() - started_at, 3
-                ),
-            )
-            watcher.sent = version
+        """Sends updates in parts until the watcher lacks nothing."""
+        while watcher.sent < self._state.version:
+            update = self._next_update(watcher)
+            if not await self._send_parts(link, watcher, update):
+                break
+            watcher.sent = update.version
         watcher.task = None
 
-    def _snapshot_parts(self) -> Iterator[messages.ConfigSnapshot]:
-        """Yields the parts of a snapshot of the present version."""
-        version = self._state.version
-        index = self._state.index
-        parts = _split(self._state.objects)
-        for number, objects in enumerate(parts):
-            yield messages.ConfigSnapshot(
+    async def _send_parts(
+        self,
+        link: connection.Connection,
+        watcher: _Watcher,
+        update: config_updates.SharedParts,
+    ) -> bool:
+        """Sends the parts of an update; returns whether all were sent."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        size_bytes = 0
+        number = 0
+        while (part := update.part(number)) is not None:
+            if not self._send(link, part):
+                return False
+            size_bytes += config_updates.part_size_bytes(part)
+            number += 1
+            await link.drain()
+            # Encoding the next part takes milliseconds.
+            await asyncio.sleep(0)
+        events.emit(
+            events.CONFIG_SENT,
+            subscriber=link.peer_hello.node,
+            update=update.kind,
+            base=watcher.sent,
+            version=update.version,
+            newest=self._state.version,
+            bytes=size_bytes,
+            seconds=round(loop.time() - started_at, 3),
+        )
+        return True
+
+    def _next_update(self, watcher: _Watcher) -> config_updates.SharedParts:
+        """Returns the changes that a watcher lacks, or a snapshot."""
+        change = self._history.since(watcher.sent)
+        if change is not None and not self._suits(change, watcher):
+            change = None
+        base = None if change is None else watcher.sent
+        key = _UpdateKey(base=base, packed=watcher.reads_packed_parts)
+        update = self._updates.get(key)
+        if update is None:
+            update = self._updates[key] = self._encode(key, change)
+        return update
+
+    def _suits(self, change: delta.Delta, watcher: _Watcher) -> bool:
+        """Returns whether a change is sent rather than a snapshot."""
+        if change.size_bytes <= config_updates.PART_BYTES:
+            return True
+        snapshot_bytes = sum(map(len, self._state.objects.values()))
+        return watcher.reads_packed_parts and change.size_bytes < snapshot_bytes
+
+    def _encode(
+        self, key: _UpdateKey, change: delta.Delta | None
+    ) -> config_updates.SharedParts:
+        """Returns an update to the version in effect."""
+        version, index = self._state.version, self._state.index
+        if change is None or key.base is None:
+            return config_updates.SharedParts(
+                kind="snapshot",
                 version=version,
-                index=index,
-                part=number,
-                parts=len(parts),
-                objects=objects,
+                parts=config_updates.snapshot_parts(
+                    self._state.objects.values(),
+                    version=version,
+                    index=index,
+                    packed=key.packed,
+                ),
+            )
+        if not key.packed:
+            message = config_updates.delta_message(
+                change, base=key.base, version=version, index=index
+            )
+            return config_updates.SharedParts(
+                kind="delta", version=version, parts=iter([message])
             )
+        return config_updates.SharedParts(
+            kind="delta",
+            version=version,
+            parts=config_updates.delta_parts(
+                change, base=key.base, version=version, index=index
+            ),
+        )
 
     def _send(
         self, link: connection.Connection, message: messages.Message
@@ -186,16 +260,3 @@
             )
             return False
         return True
-
-
-def _split(objects: dict[str, bytes]) -> list[list[bytes]]:
-    """Splits objects into parts of about ``_PART_BYTES``; at least one."""
-    parts: list[list[bytes]] = [[]]
-    size_bytes = 0
-    for data in objects.values():
-        if parts[-1] and size_bytes + len(data) > _PART_BYTES:
-            parts.append([])
-            size_bytes = 0
-        parts[-1].append(data)
-        size_bytes += len(data)
-    return parts
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -225,7 +225,7 @@
             case messages.Propose():
                 return await self._propose(message)
             case messages.Watch():
-                self.replicated_state.feed.watch(link, message.version)
+                self.replicated_state.feed.watch(link, message)
                 return messages.Ack()
             case messages.InForce():
                 self.replicated_state.feed.record_in_effect(
--- a/src/monsoonhinge/control/replicated_state.py
+++ b/src/monsoonhinge/control/replicated_state.py
@@ -30,7 +30,7 @@
         result = self.state_machine.apply(index, codec.decode_command(data))
         self.index = index
         if self.state_machine.version != old_version:
-            self.feed.push_change(old_version, old_objects, index=index)
+            self.feed.push_change(old_version, old_objects)
         self._notify()
         return codec.encode_result(result)
 
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -150,33 +150,49 @@
 
 @dataclasses.dataclass(slots=True)
 class Watch:
-    """Subscribes to configuration changes after ``version`` (0: none yet)."""
+    """Subscribes to configuration changes after ``version`` (0: none yet).
+
+    ``reads_packed_parts`` is set by builds that read deltas in several parts
+    and compressed objects.
+    """
 
     subscriber: str = ""
     role: str = ""
     version: int = 0
+    reads_packed_parts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class ConfigSnapshot:
-    """Part of a complete configuration; objects are JSON documents."""
+    """Part of a complete configuration; objects are JSON documents.
+
+    They are in ``objects``, or compressed by ``config.pack`` in ``packed``.
+    """
 
     version: int = 0
     index: int = 0
     part: int = 0
     parts: int = 0
     objects: list[bytes] = dataclasses.field(default_factory=list)
+    packed: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
 class ConfigDelta:
-    """Changes from ``base`` to ``version``; deletes are ``kind/name`` ids."""
+    """Changes from ``base`` to ``version``; deletes are ``kind/name`` ids.
+
+    A large change is sent in several ``parts``, whose objects are compressed
+    by ``config.pack`` in ``packed`` instead of ``upserts``.
+    """
 
     base: int = 0
     version: int = 0
     index: int = 0
     upserts: list[bytes] = dataclasses.field(default_factory=list)
     deletes: list[str] = dataclasses.field(default_factory=list)
+    part: int = 0
+    parts: int = 0
+    packed: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -95,6 +95,7 @@
   subscriber @0 :Text;
   role @1 :Text;
   version @2 :UInt64;
+  readsPackedParts @3 :Bool;
 }
 
 struct ConfigSnapshot {
@@ -103,6 +104,7 @@
   part @2 :Int64;
   parts @3 :Int64;
   objects @4 :List(Data);
+  packed @5 :Data;
 }
 
 struct ConfigDelta {
@@ -111,6 +113,9 @@
   index @2 :UInt64;
   upserts @3 :List(Data);
   deletes @4 :List(Text);
+  part @5 :Int64;
+  parts @6 :Int64;
+  packed @7 :Data;
 }
 
 struct Probe {
--- a/tests/control/test_subscription.py
+++ b/tests/control/test_subscription.py
@@ -9,6 +9,7 @@
 import pytest
 
 from monsoonhinge.config import delta
+from monsoonhinge.config import pack
 from monsoonhinge.config import schema
 from monsoonhinge.control import leader_discovery
 from monsoonhinge.control import mirror
@@ -318,13 +319,19 @@
     )
 
 
-def _delta(base: int, version: int) -> messages.ConfigDelta:
+def _delta(
+    base: int, version: int, part: int = 0, parts: int = 1
+) -> messages.ConfigDelta:
     change = delta.Delta.between(_content(base), _content(version))
+    upserts = list(change.upserts.values())[part::parts]
     return messages.ConfigDelta(
         base=base,
         version=version,
-        upserts=list(change.upserts.values()),
-        deletes=change.deletes,
+        part=part,
+        parts=parts,
+        upserts=upserts if parts == 1 else [],
+        packed=b"" if parts == 1 else pack.pack(upserts),
+        deletes=change.deletes[part::parts],
     )
 
 
@@ -339,6 +346,14 @@
         ([_part(7, 0, 2), _delta(7, 9), _part(7, 1, 2)], 9),
         ([_part(7, 0, 2), _delta(6, 7), _part(7, 1, 2)], 7),
         ([_part(7, 0, 1), _delta(8, 9)], 7),  # lost delta
+        # A delta in several parts.
+        ([_part(7, 0, 1), _delta(7, 9, 0, 2), _delta(7, 9, 1, 2)], 9),
+        ([_part(7, 0, 1), _delta(7, 9, 0, 2)], 7),
+        ([_part(7, 0, 1), _delta(7, 9, 1, 2), _delta(7, 9, 0, 2)], 7),
+        ([_part(7, 0, 1), _delta(7, 9, 0, 3), _delta(7, 9, 2, 3)], 7),
+        ([_part(7, 0, 1), _delta(7, 9, 0, 2), _delta(7, 8, 1, 2)], 7),
+        ([_part(7, 0, 1), _delta(6, 9, 0, 2), _delta(6, 9, 1, 2)], 7),
+        ([_part(9, 0, 1), _delta(7, 8, 0, 2), _delta(7, 8, 1, 2)], 9),
         ([_part(7, 0, 1), _delta(7, 9), _delta(7, 8)], 9),
     ],
 )
