Deny nothing for good by an outdated configuration

What callers saw: 404 for routes that had been added and acknowledged more than 2.5 s before (CONFIG), and by them for proper requests (DENIED).

Cause: a gateway sent 404 by a configuration of any age and 401 by one of up to 4 s, also when a reply to its probe had named a newer version. The class is a decision by a belief of unknown age.

Change: the gateway has the time in which a change must be in effect as a setting (config_deadline_ms). A configuration that is older neither denies a request for good (401, 404, 413) nor, if a newer one is known, admits it: the request waits up to 0.5 s for the next confirmation, then gets 503 with Retry-After.

--- a/src/monsoonhinge/ingress/admission.py
+++ b/src/monsoonhinge/ingress/admission.py
@@ -11,6 +11,9 @@
 from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import refusal
 
+# By then a member that lags has been replaced, or an update has arrived.
+_STALE_RETRY_AFTER_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmittedRequest:
@@ -58,19 +61,32 @@
 class Admission:
     """Checks the route, the caller key and the age of the configuration.
 
+    A change may be in effect elsewhere for ``config_deadline_s`` before it has
+    to be in effect here. A configuration that is older than that neither
+    denies a request for good nor, if a newer one is known, admits it. Without
+    a known newer one it goes on admitting requests: a gateway that has lost
+    the control members serves until ``max_staleness_s`` has passed.
+
     Attributes:
         key_secret: Secret with which caller keys are hashed.
         max_staleness_s: Maximum age of a configuration against which keys
             are checked.
+        config_deadline_s: Time in which a change has to be in effect.
         rng: Random number generator for the weighted choice between the
             services of a route.
     """
 
     def __init__(
-        self, *, key_secret: bytes, max_staleness_s: float, rng: random.Random
+        self,
+        *,
+        key_secret: bytes,
+        max_staleness_s: float,
+        config_deadline_s: float,
+        rng: random.Random,
     ) -> None:
         self.key_secret = key_secret
         self.max_staleness_s = max_staleness_s
+        self.config_deadline_s = config_deadline_s
         self.rng = rng
 
     def admit(
@@ -89,14 +105,14 @@
             raise refusal.Refusal(
                 refusal.Reason.NO_CONFIGURATION, retry_after_s=0.5, step="admit"
             )
+        if freshness.is_behind and not self._is_current(freshness):
+            raise _stale_refusal()
         route = view.ingress_route(host=parsed.host, path=parsed.path)
         if route is None:
-            raise refusal.Refusal(refusal.Reason.UNKNOWN_ROUTE, step="admit")
+            raise self.denial(refusal.Reason.UNKNOWN_ROUTE, freshness)
         team, key_hash = None, ""
         if view.ingress_limits.keys_required and not route.public:
-            team, key_hash = self._authenticate(
-                parsed, view, freshness.staleness_s
-            )
+            team, key_hash = self._authenticate(parsed, view, freshness)
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -110,6 +126,24 @@
             freshness=freshness,
         )
 
+    def denial(
+        self,
+        reason: refusal.Reason,
+        freshness: config_freshness.Freshness,
+    ) -> refusal.Refusal:
+        """Returns the refusal of a request that the configuration denies.
+
+        Callers do not repeat a request that is denied, so that an outdated
+        configuration does not suffice.
+
+        Args:
+            reason: Why the configuration in effect denies it.
+            freshness: Age of that configuration.
+        """
+        if not self._is_current(freshness):
+            return _stale_refusal()
+        return refusal.Refusal(reason, step="admit")
+
     def still_authorized(
         self,
         admitted: AdmittedRequest,
@@ -129,22 +163,22 @@
         self,
         parsed: dialect.ParsedRequest,
         view: config_view.View,
-        staleness_s: float,
+        freshness: config_freshness.Freshness,
     ) -> tuple[schema.Team, str]:
-        if staleness_s > self.max_staleness_s:
-            raise refusal.Refusal(
-                refusal.Reason.STALE_CONFIGURATION,
-                retry_after_s=0.5,
-                step="admit",
-            )
+        if freshness.staleness_s > self.max_staleness_s:
+            raise _stale_refusal()
         key_hash = config_view.key_hash(
             secret=self.key_secret, key=parsed.key or ""
         )
         key = view.keys_by_hash.get(key_hash)
         if parsed.key is None or key is None:
-            raise refusal.Refusal(refusal.Reason.INVALID_KEY, step="admit")
+            raise self.denial(refusal.Reason.INVALID_KEY, freshness)
         return view.teams[key.team], key_hash
 
+    def _is_current(self, freshness: config_freshness.Freshness) -> bool:
+        """Returns whether all changes that have to be in effect are."""
+        return freshness.staleness_s <= self.config_deadline_s
+
     def _choose_service(
         self, route: objects.IngressRoute, view: config_view.View
     ) -> objects.IngressService:
@@ -156,6 +190,14 @@
         return view.ingress_services[name]
 
 
+def _stale_refusal() -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.Reason.STALE_CONFIGURATION,
+        retry_after_s=_STALE_RETRY_AFTER_S,
+        step="admit",
+    )
+
+
 def _token_cost(parsed: dialect.ParsedRequest, team: schema.Team | None) -> int:
     if team is None or team.unlimited:
         return 0
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -91,6 +91,7 @@
         self.admission = admission.Admission(
             key_secret=config.key_secret.encode(),
             max_staleness_s=config.max_staleness_s,
+            config_deadline_s=config.config_deadline_ms / 1000,
             rng=random.Random(),
         )
         self.retry_budget = retry_budget.RetryBudget(
--- a/src/monsoonhinge/ingress/request_handler.py
+++ b/src/monsoonhinge/ingress/request_handler.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from monsoonhinge.ingress import admission
+from monsoonhinge.ingress import confirmation
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import fleet_client
 from monsoonhinge.ingress import gateway_context
@@ -33,6 +34,7 @@
             little time is left to run them.
         active_request_count: Number of requests without a complete response.
         startup_gate: Holds requests until the first confirmed configuration.
+        confirmation: Holds requests until a later one is confirmed again.
     """
 
     def __init__(
@@ -49,6 +51,11 @@
         self.active_request_count = 0
         self._idle = asyncio.Event()
         self.startup_gate = startup.StartupGate()
+        self.confirmation = confirmation.Confirmation(
+            client=client,
+            config_deadline_s=admission_control.config_deadline_s,
+            max_staleness_s=admission_control.max_staleness_s,
+        )
         self._dialect = context.dialect
         self._client = client
         self._admission = admission_control
@@ -150,9 +157,18 @@
         try:
             return self._admit_now(parsed)
         except refusal.Refusal as error:
-            await self.startup_gate.wait(
-                error, time_left_ms=parsed.time_left_ms, arrived_at=arrived_at
-            )
+            if self.startup_gate.is_open:
+                await self.confirmation.wait(
+                    error,
+                    time_left_ms=parsed.time_left_ms,
+                    arrived_at=arrived_at,
+                )
+            else:
+                await self.startup_gate.wait(
+                    error,
+                    time_left_ms=parsed.time_left_ms,
+                    arrived_at=arrived_at,
+                )
         return self._admit_now(parsed)
 
     def _admit_now(
@@ -176,7 +192,10 @@
                     break
                 parts.append(part)
         if size_bytes > limit_bytes:
-            raise refusal.Refusal(refusal.Reason.BODY_TOO_LARGE, step="read")
+            raise self._admission.denial(
+                refusal.Reason.BODY_TOO_LARGE,
+                self._client.freshness(asyncio.get_running_loop().time()),
+            )
         return b"".join(parts)
 
     async def _run_charged(
--- a/src/monsoonhinge/ingress/startup.py
+++ b/src/monsoonhinge/ingress/startup.py
@@ -30,6 +30,11 @@
     def __init__(self) -> None:
         self._opened = asyncio.Event()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the configuration has been confirmed since the start."""
+        return self._opened.is_set()
+
     def open(self) -> None:
         """Releases all requests, since the configuration is confirmed."""
         self._opened.set()
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -176,6 +176,8 @@
         key_secret: Secret for the keyed hashes of caller keys.
         max_staleness_s: Maximum age of the confirmed configuration under which
             requests with a key are accepted.
+        config_deadline_ms: Time in which an acknowledged change of the
+            configuration has to be in effect at all gateways.
         retry_ratio: Number of retries allowed per request, over all gateways.
         retry_extra: Number of retries allowed in each window in addition to
             ``retry_ratio``.
@@ -189,6 +191,7 @@
     control_port: Annotated[int, pydantic.Field(ge=1, le=65535)]
     key_secret: Annotated[str, pydantic.Field(min_length=_MIN_SECRET_CHARS)]
     max_staleness_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
+    config_deadline_ms: Annotated[int, pydantic.Field(gt=0)] = 2_000
     retry_ratio: Annotated[float, pydantic.Field(ge=0)] = 0.1
     retry_extra: Annotated[float, pydantic.Field(ge=0)] = 10.0
     retry_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -76,7 +76,10 @@
 
 def _admission() -> admission.Admission:
     return admission.Admission(
-        key_secret=_SECRET, max_staleness_s=4.0, rng=random.Random(1)
+        key_secret=_SECRET,
+        max_staleness_s=4.0,
+        config_deadline_s=2.0,
+        rng=random.Random(1),
     )
 
 
@@ -128,6 +131,42 @@
     assert _reason(_parsed_request(), view, 5.0) == "stale_configuration"
 
 
+@pytest.mark.parametrize("key", ["k", "other", None])
+@pytest.mark.parametrize("path", ["/a/x", "/z/x"])
+@pytest.mark.parametrize("is_public", [False, True])
+def test_old_configuration_denies_nothing_for_good(
+    path: str, key: str | None, is_public: bool
+) -> None:
+    """Guards against a 404 or 401 for a route or key that was just added."""
+    view = _view(_route("a", "/a/", public=is_public))
+    parsed = _parsed_request(path, key)
+    try:
+        _admission().admit(parsed, view=view, freshness=_freshness(2.5))
+    except refusal.Refusal as error:
+        assert error.reason is refusal.Reason.STALE_CONFIGURATION
+        assert error.status == 503
+        assert error.retry_after_s
+
+
+@pytest.mark.parametrize(
+    ("staleness_s", "newest_version", "admits"),
+    [(1.0, 1, True), (1.0, 2, True), (2.5, 1, True), (2.5, 2, False)],
+)
+def test_replaced_configuration_admits_nothing_after_its_time(
+    staleness_s: float, newest_version: int, admits: bool
+) -> None:
+    """Guards against a request that runs by a route that was changed."""
+    view = _view(_route("a", "/a/", public=True))
+    freshness = _freshness(staleness_s, newest_version=newest_version)
+    try:
+        _admission().admit(_parsed_request(), view=view, freshness=freshness)
+    except refusal.Refusal as error:
+        assert not admits
+        assert error.reason is refusal.Reason.STALE_CONFIGURATION
+    else:
+        assert admits
+
+
 def test_waiting_request_is_not_run_after_its_key_is_deleted() -> None:
     """Guards against a request that runs with a revoked key."""
     view = _view(_route("a", "/a/"))
