--- a/src/monsoonhinge/bench/measure.py
+++ b/src/monsoonhinge/bench/measure.py
@@ -11,6 +11,7 @@
     "policy": "the scheduler's policies compared with baselines on traces",
     "routing": "routing by load and prefix compared with simple policies",
     "slopes": "cost of a request, an announcement and a subscriber",
+    "updates": "bytes that an update of the configuration takes",
 }
 
 
--- a/src/monsoonhinge/control/config_updates.py
+++ b/src/monsoonhinge/control/config_updates.py
@@ -80,7 +80,9 @@
 ) -> Iterator[messages.ConfigDelta]:
     """Yields the parts of a change, whose objects are compressed."""
     upserts = _split(change.upserts.values())
-    deletes = _split(object_id.encode() for object_id in change.deletes)
+    deletes = []
+    if change.deletes:
+        deletes = _split(object_id.encode() for object_id in change.deletes)
     count = len(upserts) + len(deletes)
     for number, group in enumerate([*upserts, *deletes]):
         is_upsert = number < len(upserts)
