Log the software version of targets and what callers take up

Cause: the software version of an announcement was dropped, and no line told which request took up which stream.

No decision changes.

Evidence: tests/platform/test_translation.py checks the version and that of the weights apart; it fails before, as registrations have no such field.

--- a/src/monsoonhinge/fleet/registrar.py
+++ b/src/monsoonhinge/fleet/registrar.py
@@ -139,6 +139,7 @@
         address=registration.address,
         service=registration.service,
         leaving=registration.leaving,
+        software_version=registration.software_version,
     )
 
 
--- a/src/monsoonhinge/ingress/dialect.py
+++ b/src/monsoonhinge/ingress/dialect.py
@@ -39,6 +39,8 @@
         prompt: Parts of the prompt, in order.
         time_left_ms: Remaining time until the deadline of the caller, or None.
         last_event_id: Id of the event after which a stream resumes, or "".
+        first_request_id: Id of the request whose response brought the first
+            event of the resumed stream, or "".
         headers: Headers that are forwarded to the target unchanged.
         body: Complete body.
     """
@@ -57,6 +59,7 @@
     last_event_id: str
     headers: multidict.CIMultiDict[str]
     body: bytes = b""
+    first_request_id: str = ""
 
     @property
     def shared_parts(self) -> list[str]:
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -276,6 +276,7 @@
                     sequence=registration.sequence,
                     state=registration.state,
                     service=registration.service,
+                    software_version=registration.software_version,
                 )
         self.quota.gateway_count = self.fleet_client.gateway_count
         self.retry_budget.gateway_count = self.fleet_client.gateway_count
--- a/src/monsoonhinge/platform/registrations.py
+++ b/src/monsoonhinge/platform/registrations.py
@@ -48,6 +48,10 @@
     cold_remaining_ms: models.Count = pydantic.Field(
         alias="coldRemainingMs", default=0
     )
+    # Version of its software; that of a model's weights is in ``models``.
+    software_version: Annotated[str, pydantic.Field(max_length=256)] = (
+        pydantic.Field(alias="version", default="")
+    )
     # Time until the server is reclaimed.
     remaining_ms: models.Number = pydantic.Field(alias="remainingMs", default=0)
     held: list[HeldModel] = pydantic.Field(alias="models", default=[])
@@ -95,4 +99,5 @@
         ],
         in_memory=list(announcement.available.in_memory),
         on_disk=list(announcement.available.on_disk),
+        software_version=announcement.software_version,
     )
--- a/src/monsoonhinge/platform/requests.py
+++ b/src/monsoonhinge/platform/requests.py
@@ -36,6 +36,7 @@
             prompt=_parse_prompt_prefix(headers.get(wire.PROMPT_PREFIX)),
             time_left_ms=_parse_milliseconds(headers.get(wire.DEADLINE_MS)),
             last_event_id=headers.get(wire.LAST_EVENT_ID, ""),
+            first_request_id=headers.get(wire.RESUMES, ""),
             headers=_forwarded_headers(headers, wire.STRIPPED_REQUEST_HEADERS),
         )
 
--- a/src/monsoonhinge/platform/wire.py
+++ b/src/monsoonhinge/platform/wire.py
@@ -9,6 +9,8 @@
 PROMPT_PREFIX = "X-Prompt-Prefix"
 DEADLINE_MS = "X-Deadline-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+# Request id of the attempt that brought the first event of a stream.
+RESUMES = "Resumes"
 AUTHORIZATION = "Authorization"
 SERVER_SIGNATURE = "X-Server-Signature"
 NOT_EXECUTED = "X-Not-Executed"
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -41,6 +41,7 @@
         on_disk: Models cached on its disk.
         leaving: Whether it said in a response that it is leaving, whatever
             state it announced. It stays true for the rest of the incarnation.
+        software_version: Version of its software, not of model weights.
     """
 
     target: str = ""
@@ -57,6 +58,7 @@
     in_memory: list[str] = dataclasses.field(default_factory=list)
     on_disk: list[str] = dataclasses.field(default_factory=list)
     leaving: bool = False
+    software_version: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -356,6 +356,7 @@
   inMemory @11 :List(Text);
   onDisk @12 :List(Text);
   leaving @13 :Bool;
+  softwareVersion @14 :Text;
 }
 
 struct WatchRegistry {
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -41,6 +41,7 @@
         self.disconnect_at_event: int | None = None
         self.refuse_all = False
         self.event_interval_s = 0.0
+        self.software_version = ""
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -64,6 +65,7 @@
             "sequence": sequence,
             "born": 1000,
             "models": [{"name": "m1", "version": 1, "adapters": []}],
+            "version": self.software_version,
         } | changes
 
     def response_headers(self) -> dict[str, str]:
@@ -99,7 +101,8 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await response.write(b"id: %d\ndata: %d\n\n" % (number, number))
+            text = f"{self.software_version}{number}"
+            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
         await response.write_eof()
         return response
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -182,6 +182,8 @@
         4,
     )
     assert registration.models[0].adapters == ["a1"]
+    assert registration.models[0].version == 1
+    assert registration.software_version == "v1"
     assert (registration.in_memory, registration.on_disk) == (["m1"], ["m2"])
 
 
@@ -200,6 +202,7 @@
         {"born": 1.5},
         {"slots": 0},
         {"models": "m1"},
+        {"version": 1},
     ],
 )
 def test_invalid_heartbeats_are_rejected(changes: dict[str, Any]) -> None:
