Split the order of announcements and the state dump from their modules

Change: announcement_order.py decides which announcements count, state_dump.py makes the dump, and target acquisition records rejections.

--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -23,6 +23,7 @@
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import request_handler
 from monsoonhinge.ingress import retry_budget
+from monsoonhinge.ingress import state_dump
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_notices
 from monsoonhinge.ingress import target_table
@@ -230,30 +231,14 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the state dump for operators."""
-        now = asyncio.get_running_loop().time()
-        return {
-            "version": self.fleet_client.view.version,
-            "staleness_s": self.fleet_client.staleness(now),
-            "open": self.handler.active_request_count if self.handler else 0,
-            "waiting": self.wait_queue.count(),
-            "gateways": self.fleet_client.gateway_count,
-            "fencing": self.targets.fencing,
-            "targets": {
-                name: {
-                    "state": target.registration.state,
-                    "address": target.registration.address,
-                    "models": sorted(target.models),
-                    "running": target.running_count(),
-                    "answer_s": target.response_latency_s,
-                    "rate_limit": None
-                    if target.rate_limit is None
-                    else target.rate_limit.requests_per_s,
-                }
-                for name, target in self.targets.by_name.items()
-            },
-            "ejected_until": self.balancer.ejections.ejected_until(),
-            "quarantined_s": self.quarantine.dump(now),
-        }
+        return state_dump.dump(
+            handler=self.handler,
+            client=self.fleet_client,
+            balancer=self.balancer,
+            waiting=self.wait_queue,
+            quarantine=self.quarantine,
+            now=asyncio.get_running_loop().time(),
+        )
 
     def config_changed(self, view: config_view.View) -> None:
         """Dispatches waiting requests under a new configuration."""
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -184,7 +184,7 @@
                 case _:
                     response.close()
                     self._end_without_run(target)
-                    self._handle_rejection(target, execution)
+                    self._acquisition.record_rejection(target, execution)
                     self._check_repeat(response.peer)
 
     async def _try_target(
@@ -309,23 +309,6 @@
                 peer=peer,
             )
 
-    def _handle_rejection(
-        self, target: target_table.Target, execution: dialect.ExecutionStatus
-    ) -> None:
-        now = self._loop.time()
-        if now < target.retry_at:
-            # It asked for a pause, whatever model a request needs.
-            self._avoided_targets.add(target.name)
-        elif self._requirements.model:
-            target.mark_model_missing(
-                self._requirements.model, self._requirements.adapter, now
-            )
-            self._context.dispatch_at(now + target_table.MISSING_RECHECK_S)
-        else:
-            self._avoided_targets.add(target.name)
-        if execution is dialect.ExecutionStatus.WRONG_INSTANCE:
-            self._avoided_targets.add(target.name)
-
     def _record_failure(
         self, target: target_table.Target, kind: str, error: Exception
     ) -> None:
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -68,6 +68,23 @@
             if await self._context.rate_limiter.acquire(target):
                 return target
 
+    def record_rejection(
+        self, target: target_table.Target, execution: dialect.ExecutionStatus
+    ) -> None:
+        """Avoids a target that rejected the request before running it."""
+        now = self._loop.time()
+        model, adapter = self._requirements.model, self._requirements.adapter
+        if now < target.retry_at:
+            # It asked for a pause, whatever model a request needs.
+            self.avoided_targets.add(target.name)
+        elif model:
+            target.mark_model_missing(model, adapter, now)
+            self._context.dispatch_at(now + target_table.MISSING_RECHECK_S)
+        else:
+            self.avoided_targets.add(target.name)
+        if execution is dialect.ExecutionStatus.WRONG_INSTANCE:
+            self.avoided_targets.add(target.name)
+
     def wait_refusal(self) -> refusal.Refusal:
         """Returns the refusal of the request if it can no longer be served."""
         return readiness.wait_refusal(
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from monsoonhinge.ingress import announcement_order
 from monsoonhinge.ingress import rate_limit_state
 from monsoonhinge.protocol import fleet
 
@@ -24,36 +25,9 @@
 # probably gone.
 _SILENT_RECONNECT_DELAY_S = 10.0
 
-# After a deregistration, announcements that were sent before it may still
-# arrive for this long and are ignored. The control members wait slightly
-# longer before they publish a target again, so that a gateway accepts it.
-_REREGISTRATION_DELAY_S = 5.0
-
-# Departed targets are remembered while delayed announcements of them may still
-# arrive.
-_DEPARTURE_RETENTION_S = 60.0
-
 # Weight of the latest response in the moving average of a target's latency.
 _LATENCY_WEIGHT = 0.2
 
-# Incarnation and sequence number of an announcement; higher is newer.
-_AnnouncementVersion = tuple[int, int]
-
-
-@dataclasses.dataclass(slots=True)
-class _Departure:
-    """A target that has deregistered.
-
-    Attributes:
-        registration: Its last registration, with the state ``gone``.
-        version: Latest announcement that the deregistration covers.
-        departed_at: When this gateway learned of it.
-    """
-
-    registration: fleet.Registration
-    version: _AnnouncementVersion
-    departed_at: float
-
 
 @dataclasses.dataclass(slots=True)
 class Target:
@@ -151,24 +125,21 @@
     def __init__(self) -> None:
         self.by_name: dict[str, Target] = {}
         self.fencing = 0
-        self._latest_versions: dict[str, _AnnouncementVersion] = {}
-        self._departures: dict[str, _Departure] = {}
-        self._undone_deregistrations: dict[str, _AnnouncementVersion] = {}
+        self._order = announcement_order.AnnouncementOrder()
         self._placements: dict[str, fleet.Placement] = {}
 
     def register(self, registration: fleet.Registration, now: float) -> bool:
         """Applies a registration; returns whether it changed anything."""
         name = registration.target
-        version = (registration.incarnation, registration.sequence)
-        latest = self._latest_versions.get(name)
         if registration.state == GONE:
-            return self._apply_deregistration(registration, now)
-        if latest is not None and version < latest:
-            return False
-        if not self._accepts_reregistration(name, version, now):
+            self._expire_departures(now)
+            if not self._order.accepts_deregistration(registration, now):
+                return False
+            self.by_name.pop(name, None)
+            return True
+        if not self._order.accepts(registration, now):
             return False
         target = self.by_name.get(name)
-        self._latest_versions[name] = version
         if (
             target is not None
             and target.registration.incarnation == registration.incarnation
@@ -216,8 +187,7 @@
             for target in self.by_name.values()
             if target.registration.leaving
         ]
-        departed = [item.registration for item in self._departures.values()]
-        return leaving + departed
+        return leaving + self._order.departed()
 
     def incarnation_and_state(self, name: str) -> tuple[int, str]:
         """Returns incarnation and state of a target; (0, "") if unknown."""
@@ -277,60 +247,10 @@
                 times.append(0.0)
         return min(times, default=None)
 
-    def _apply_deregistration(
-        self, registration: fleet.Registration, now: float
-    ) -> bool:
-        """Applies a deregistration; returns whether it changed anything.
-
-        A deregistration has no sequence number of its own. The member that
-        accepted it may have been partitioned from members with later
-        announcements, so that it is applied whatever its number is, unless
-        the target registered again after this same deregistration.
-        """
-        name = registration.target
-        version = (registration.incarnation, registration.sequence)
-        latest = self._latest_versions.get(name, version)
-        if version[0] < latest[0]:
-            return False
-        if version <= self._undone_deregistrations.get(name, (-1, -1)):
-            return False
-        if name in self._departures and version[0] == latest[0]:
-            return False
-        self._expire_departures(now)
-        latest = max(latest, version)
-        self._latest_versions[name] = latest
-        self._departures[name] = _Departure(
-            registration=dataclasses.replace(registration, sequence=latest[1]),
-            version=latest,
-            departed_at=now,
-        )
-        self.by_name.pop(name, None)
-        return True
-
     def _expire_departures(self, now: float) -> None:
         """Forgets targets that left so long ago that nothing names them."""
-        for name, departure in list(self._departures.items()):
-            if now - departure.departed_at > _DEPARTURE_RETENTION_S:
-                del self._departures[name]
-                self._latest_versions.pop(name, None)
-                self._undone_deregistrations.pop(name, None)
-                self._placements.pop(name, None)
-
-    def _accepts_reregistration(
-        self, name: str, version: _AnnouncementVersion, now: float
-    ) -> bool:
-        """Returns whether an announcement may undo a deregistration."""
-        departure = self._departures.get(name)
-        if departure is None:
-            return True
-        if version[0] == departure.version[0] and (
-            version <= departure.version
-            or now - departure.departed_at < _REREGISTRATION_DELAY_S
-        ):
-            return False
-        del self._departures[name]
-        self._undone_deregistrations[name] = departure.version
-        return True
+        for name in self._order.expire(now):
+            self._placements.pop(name, None)
 
     def _update_models(
         self, target: Target, placement: fleet.Placement, now: float | None
