Go on with a stream only at the software version that began it

What callers saw: in one answer, events of one software version and then of another, with nothing to show it.

Cause: after a break or a stall the gateway chose among all targets of the service. The class is an identity (which software wrote this) that was dropped where it was needed later.

Change: the first event of an answer binds the rest to the software version of its target; further attempts go to targets of that version, or the answer is broken off at once. A target that restarts under its id as another version while it sends makes that uncertain, and ends the answer. Requests that wait for a version whose last target has left are refused at once.

--- a/src/monsoonhinge/ingress/load_balancer.py
+++ b/src/monsoonhinge/ingress/load_balancer.py
@@ -28,12 +28,15 @@
         adapter: Adapter that must be loaded, or "".
         session: Id of the last prompt part, or ""; requests with the same
             one prefer the same target.
+        software_version: Version of the software that began the stream, or
+            None if any will do.
     """
 
     service: str
     model: str = ""
     adapter: str = ""
     session: str = ""
+    software_version: str | None = None
 
 
 class LoadBalancer:
@@ -86,7 +89,7 @@
         """Returns the targets that can serve the request now."""
         available = [
             target
-            for target in self.targets.available_targets(requirements.service)
+            for target in self._available(requirements)
             if now >= target.accepts_requests_at
         ]
         if not requirements.model:
@@ -106,12 +109,19 @@
         """
         times = [
             target.accepts_requests_at
-            for target in self.targets.available_targets(requirements.service)
+            for target in self._available(requirements)
             if not requirements.model
             or target.holds(requirements.model, requirements.adapter)
         ]
         return min(times, default=None)
 
+    def _available(
+        self, requirements: Requirements
+    ) -> list[target_table.Target]:
+        return self.targets.available_targets(
+            requirements.service, requirements.software_version
+        )
+
     def _cost(
         self,
         target: target_table.Target,
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -266,6 +266,7 @@
         self.quota.gateway_count = self.fleet_client.gateway_count
         self.retry_budget.gateway_count = self.fleet_client.gateway_count
         self.rate_limiter.gateway_count = self.fleet_client.gateway_count
+        self._refuse_hopeless()
         self._dispatch_waiting()
 
     def _on_placements(self, message: fleet.Placements) -> None:
--- a/src/monsoonhinge/ingress/readiness.py
+++ b/src/monsoonhinge/ingress/readiness.py
@@ -39,6 +39,7 @@
         service=requirements.service,
         model=requirements.model,
         adapter=requirements.adapter,
+        software_version=requirements.software_version,
     )
     if ready_at is not None:
         return max(_MIN_ESTIMATE_S, ready_at - now)
@@ -68,7 +69,8 @@
 ) -> refusal.Refusal | None:
     """Returns the refusal of a request that cannot be served in time.
 
-    Load pattern: all targets with the model have asked for a pause, or have no
+    Load pattern: no target runs the software version that began the stream.
+    Or all targets with the model have asked for a pause, or have no
     permit left, beyond the time that the request can wait. The model is not
     loaded elsewhere, since it is loaded there. Or no target has the model, and
     its load ends too late. Or the gateway is cut off from the control members,
@@ -83,6 +85,12 @@
             configuration for too long.
         now: Current time of the event loop.
     """
+    if requirements.software_version is not None and (
+        not balancer.targets.available_targets(
+            requirements.service, requirements.software_version
+        )
+    ):
+        return refusal.Refusal(refusal.Reason.VERSION_GONE, step="wait")
     opens_at = balancer.opens_at(requirements)
     if opens_at is not None and opens_at < queue_deadline:
         return None
@@ -92,6 +100,7 @@
             service=requirements.service,
             model=requirements.model,
             adapter=requirements.adapter,
+            software_version=requirements.software_version,
         )
         if ready_at is None:
             ready_at = delays.ready_at(
--- a/src/monsoonhinge/ingress/refusal.py
+++ b/src/monsoonhinge/ingress/refusal.py
@@ -23,6 +23,7 @@
     TIMEOUT = "timeout"
     ANSWER_LOST = "answer_lost"
     CRASHES_TARGETS = "crashes_targets"
+    VERSION_GONE = "version_gone"
 
 
 _STATUSES = {
@@ -40,6 +41,7 @@
     Reason.TIMEOUT: 504,
     Reason.ANSWER_LOST: 502,
     Reason.CRASHES_TARGETS: 503,
+    Reason.VERSION_GONE: 503,
 }
 
 
--- a/src/monsoonhinge/ingress/relay.py
+++ b/src/monsoonhinge/ingress/relay.py
@@ -59,6 +59,8 @@
         self.last_event_id = last_event_id
         self.first_byte_at: float | None = None
         self.event_relayed_at: float | None = None
+        self._before_first_event: Callable[[], None] = lambda: None
+        self._before_later_event: Callable[[], None] = lambda: None
         self._request = request
         self._dialect = request_dialect
         self._close_connection = close_connection
@@ -95,6 +97,8 @@
         *,
         deadline: float,
         stall_limits: StallLimits | None = None,
+        before_first_event: Callable[[], None] = lambda: None,
+        before_later_event: Callable[[], None] = lambda: None,
     ) -> web.StreamResponse:
         """Relays the events of a stream as they arrive.
 
@@ -103,6 +107,9 @@
             deadline: When the stream must have ended, in event loop seconds.
             stall_limits: When the stream is given up for another attempt, or
                 None if there is none.
+            before_first_event: Called before the first event of the response
+                is sent to the caller. What it raises ends the stream.
+            before_later_event: The same before each later one.
 
         Raises:
             stall.Stalled: The stream made no progress, and another attempt
@@ -112,6 +119,8 @@
                 too large.
         """
         self.event_relayed_at = None
+        self._before_first_event = before_first_event
+        self._before_later_event = before_later_event
         watchdog = None
         try:
             async with asyncio.timeout_at(deadline) as limit:
@@ -178,6 +187,10 @@
             self.last_event_id
         ):
             return
+        if self.event_relayed_at is None:
+            self._before_first_event()
+        else:
+            self._before_later_event()
         response = await self._start_response(target_response)
         await response.write(event.data)
         if self.event_relayed_at is None:
--- a/src/monsoonhinge/ingress/request_executor.py
+++ b/src/monsoonhinge/ingress/request_executor.py
@@ -11,6 +11,7 @@
 from monsoonhinge.ingress import attempts
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import gateway_context
+from monsoonhinge.ingress import load_balancer
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import request_events
@@ -82,7 +83,6 @@
         )
         self._context = context
         self._loop = asyncio.get_running_loop()
-        self._requirements = admitted.requirements(parsed)
         self._acquisition = target_acquisition.TargetAcquisition(
             context=context,
             parsed=parsed,
@@ -92,6 +92,10 @@
         )
         self._avoided_targets = self._acquisition.avoided_targets
 
+    @property
+    def _requirements(self) -> load_balancer.Requirements:
+        return self._acquisition.requirements
+
     async def run(self) -> web.StreamResponse:
         """Returns the response to the caller once it is complete.
 
@@ -103,7 +107,9 @@
             self._requirements.service, self._loop.time()
         )
         self._context.wait_queue.demand.count_arrival(
-            self._requirements, self.admitted.service.engine, self._loop.time()
+            self._requirements,
+            self.admitted.service.engine,
+            self._loop.time(),
         )
         while True:
             try:
@@ -259,6 +265,12 @@
                 response,
                 deadline=self.limits.deadline,
                 stall_limits=self._stall_limits(),
+                before_first_event=lambda: self._acquisition.bind(
+                    attempt.target
+                ),
+                before_later_event=lambda: self._acquisition.check_version(
+                    attempt.target
+                ),
             )
         else:
             relayed = await self.relay.relay_buffered(response)
@@ -275,7 +287,10 @@
         return relayed
 
     def _change_running(self, target: target_table.Target, change: int) -> None:
-        key = (self._requirements.model, self._requirements.adapter)
+        key = (
+            self._requirements.model,
+            self._requirements.adapter,
+        )
         target.running[key] = max(0, target.running.get(key, 0) + change)
         if self._requirements.model:
             self._context.demand_changed()
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -1,12 +1,15 @@
 """Finds the target of each attempt of a request, and waits for it."""
 
 import asyncio
+import dataclasses
 
+from monsoonhinge.gateway import forward
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import gateway_context
 from monsoonhinge.ingress import readiness
 from monsoonhinge.ingress import refusal
+from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import target_table
 from monsoonhinge.ingress import timeouts
 from monsoonhinge.ingress import token_reservation
@@ -20,6 +23,7 @@
 
     Attributes:
         avoided_targets: Targets that already failed or rejected the request.
+        requirements: What the request requires of a target.
     """
 
     def __init__(
@@ -37,7 +41,7 @@
         self._admitted = admitted
         self._limits = limits
         self._reservation = reservation
-        self._requirements = admitted.requirements(parsed)
+        self.requirements = admitted.requirements(parsed)
         self._loop = asyncio.get_running_loop()
 
     async def acquire(self, *, releases_tokens: bool) -> target_table.Target:
@@ -53,7 +57,7 @@
         """
         while True:
             target = self._context.balancer.choose(
-                self._requirements,
+                self.requirements,
                 avoided_targets=self.avoided_targets,
                 now=self._loop.time(),
             )
@@ -73,7 +77,7 @@
     ) -> None:
         """Avoids a target that rejected the request before running it."""
         now = self._loop.time()
-        model, adapter = self._requirements.model, self._requirements.adapter
+        model, adapter = self.requirements.model, self.requirements.adapter
         if now < target.retry_at:
             # It asked for a pause, whatever model a request needs.
             self.avoided_targets.add(target.name)
@@ -85,10 +89,43 @@
         if execution is dialect.ExecutionStatus.WRONG_INSTANCE:
             self.avoided_targets.add(target.name)
 
+    def bind(self, target: target_table.Target) -> None:
+        """Binds the rest of a stream to the target that sends its next event.
+
+        Further attempts go to targets that run the same software version.
+
+        Raises:
+            forward.AnswerLost: The target has restarted as another version
+                since the request was sent. Which one answers is not certain.
+        """
+        registration = target.registration
+        if self._context.balancer.targets.runs_other_version_now(target):
+            raise forward.AnswerLost(
+                "the target has restarted as another version",
+                step="relay",
+                peer=registration.address,
+            )
+        if self.requirements.software_version is not None:
+            return
+        self.requirements = dataclasses.replace(
+            self.requirements, software_version=registration.software_version
+        )
+
+    def check_version(self, target: target_table.Target) -> None:
+        """Ends a stream whose earlier events may be of another version.
+
+        Raises:
+            relay.BrokenOff: The target has restarted as another version since
+                the request was sent.
+        """
+        if not self._context.balancer.targets.runs_other_version_now(target):
+            return
+        raise relay.BrokenOff
+
     def wait_refusal(self) -> refusal.Refusal:
         """Returns the refusal of the request if it can no longer be served."""
         return readiness.wait_refusal(
-            self._requirements,
+            self.requirements,
             engine=self._admitted.service.engine,
             targets=self._context.balancer.targets,
             now=self._loop.time(),
@@ -120,7 +157,7 @@
             return await self._wait_for_target()
         except (refusal.Refusal, asyncio.CancelledError):
             self._context.wait_queue.demand.count_unserved(
-                self._requirements, self._loop.time()
+                self.requirements, self._loop.time()
             )
             raise
 
@@ -130,12 +167,12 @@
             raise self.wait_refusal()
         self.check_authorization()
         hopeless = self._context.hopeless_wait(
-            self._requirements, self._limits.queue_deadline
+            self.requirements, self._limits.queue_deadline
         )
         if hopeless is not None:
             raise hopeless
         queued = wait_queue.QueuedRequest(
-            requirements=self._requirements,
+            requirements=self.requirements,
             priority=self._admitted.priority,
             latency_deadline=self._limits.latency_deadline,
             arrived_at=self._limits.arrived_at,
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -221,18 +221,43 @@
             if now < target.unreachable_until
         ]
 
-    def available_targets(self, service: str) -> list[Target]:
-        """Returns the targets of a service that accept new requests."""
+    def available_targets(
+        self, service: str, software_version: str | None = None
+    ) -> list[Target]:
+        """Returns the targets of a service that accept new requests.
+
+        Args:
+            service: The service.
+            software_version: Version that they run, or None for any.
+        """
         return [
             target
             for target in self.by_name.values()
             if target.registration.service == service
             and target.registration.state in (READY, SILENT)
             and not target.registration.leaving
+            and software_version in (None, target.registration.software_version)
         ]
 
+    def runs_other_version_now(self, target: Target) -> bool:
+        """Returns whether a target has restarted as another software version.
+
+        Args:
+            target: The incarnation that a request was sent to.
+        """
+        latest = self.by_name.get(target.name, target)
+        return (
+            latest.registration.software_version
+            != target.registration.software_version
+        )
+
     def earliest_ready_at(
-        self, *, service: str, model: str, adapter: str
+        self,
+        *,
+        service: str,
+        model: str,
+        adapter: str,
+        software_version: str | None = None,
     ) -> float | None:
         """Returns when a loading model is expected to be ready, or None.
 
@@ -240,7 +265,7 @@
         since the load of an adapter takes almost no time.
         """
         times = []
-        for target in self.available_targets(service):
+        for target in self.available_targets(service, software_version):
             if model in target.ready_at:
                 times.append(target.ready_at[model])
             elif adapter and model in target.models:
