Take streams up at the software version that began them

Cause: a take-up was an ordinary request, sent to any target of the service. No process knew which version had begun the stream, and what the first gateway knew was gone with it. The class: an identity that was dropped where it was needed.

Change: a gateway records service and software version of a stream before it relays the first event, and sends the record to all control members, unless only one version has served for longer than a stream lives (twice the timeout of its route). A take-up asks its gateway, then the members, and goes on only there. An unrecorded stream goes on if a majority of the members, and the gateway, know of only one version for that time; else it is refused at once (503 origin_unknown or version_gone). Members that restart get the records of living gateways.

Evidence: in tests/platform/test_software_versions.py the take-ups at the same, another and a new gateway, the unknown stream and the stream whose version left fail on (text of two versions, or 200) and pass now.

--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -21,6 +21,7 @@
 from monsoonhinge.fleet import quarantines
 from monsoonhinge.fleet import registrar
 from monsoonhinge.fleet import registry as target_registry
+from monsoonhinge.fleet import stream_origins
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
@@ -56,8 +57,12 @@
     ) -> None:
         super().__init__(config)
         self.registry = target_registry.Registry(
-            silent_after_s=config.announce_ms / 1000 * _MAX_MISSED_ANNOUNCEMENTS
+            silent_after_s=config.announce_ms
+            / 1000
+            * _MAX_MISSED_ANNOUNCEMENTS,
+            known_since=asyncio.get_running_loop().time(),
         )
+        self.stream_origins = stream_origins.StreamOrigins()
         self.feed = feed.Feed(
             registry=self.registry, member_names=self._member_names
         )
@@ -160,6 +165,7 @@
             },
             "placement": self.controller.dump(now) if self.controller else {},
             "budgets": self.budgets.dump(),
+            "stream_origins": self.stream_origins.count(),
         }
 
     def config_changed(self, view: Any) -> None:
@@ -217,6 +223,13 @@
             case fleet.PartsServed():
                 self.quarantines.record_served(message, now)
                 return None
+            case fleet.StreamOrigins():
+                self.stream_origins.record(message, now)
+                return None
+            case fleet.FindStreamOrigin():
+                return self.stream_origins.find(
+                    message, self.registry.versions, now
+                )
             case messages.GrantRequest():
                 return await self.budgets.grant(message)
             case _:
@@ -341,6 +354,7 @@
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             now = loop.time()
             self.registrar.expire()
+            self.stream_origins.expire(now)
             leader = self.driver.leader
             if leader:
                 self._leader_seen_at = now
--- a/src/monsoonhinge/fleet/registry.py
+++ b/src/monsoonhinge/fleet/registry.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from monsoonhinge.protocol import fleet
+from monsoonhinge.targets import software_versions
 
 READY = "ready"
 DRAINING = "draining"
@@ -50,11 +51,23 @@
         entries: All known targets, including deregistered ones.
         silent_after_s: Time without an announcement after which a target
             counts as silent.
+        versions: Software versions that targets run or have run.
     """
 
-    def __init__(self, *, silent_after_s: float) -> None:
+    def __init__(
+        self, *, silent_after_s: float, known_since: float = 0.0
+    ) -> None:
+        """Creates a registry without targets.
+
+        Args:
+            silent_after_s: See the attribute.
+            known_since: Time of its creation.
+        """
         self.entries: dict[str, Entry] = {}
         self.silent_after_s = silent_after_s
+        self.versions = software_versions.SoftwareVersions(
+            known_since=known_since
+        )
 
     def record_announcement(
         self, registration: fleet.Registration, now: float
@@ -130,6 +143,8 @@
         changed = []
         for target, entry in list(self.entries.items()):
             state = entry.registration.state
+            if state != GONE:
+                self._observe_version(entry.registration, now)
             retained = now - entry.changed_at <= _RETENTION_S
             if state == GONE and not retained:
                 del self.entries[target]
@@ -208,8 +223,16 @@
         self.entries[registration.target] = Entry(
             registration, announced_at, changed_at, superseded_deregistration
         )
+        self._observe_version(registration, now)
         return changed
 
+    def _observe_version(
+        self, registration: fleet.Registration, now: float
+    ) -> None:
+        self.versions.observe(
+            registration.service, registration.software_version, now
+        )
+
     def _is_outdated(
         self, registration: fleet.Registration, entry: Entry, now: float
     ) -> bool:
--- a/src/monsoonhinge/ingress/admission.py
+++ b/src/monsoonhinge/ingress/admission.py
@@ -27,6 +27,8 @@
         priority: Priority, 0 is served first.
         tokens: Tokens that the team is charged.
         freshness: Version and age of the configuration that was applied.
+        software_version: Version of the software that began the stream; None
+            if any may serve the request.
     """
 
     route: objects.IngressRoute
@@ -36,6 +38,7 @@
     priority: int
     tokens: int
     freshness: config_freshness.Freshness
+    software_version: str | None = None
 
     @property
     def retryable(self) -> bool:
@@ -49,12 +52,16 @@
     ) -> load_balancer.Requirements:
         """Returns the model, adapter and session that a target must match."""
         if self.service.engine is None or not parsed.model:
-            return load_balancer.Requirements(service=self.service.name)
+            return load_balancer.Requirements(
+                service=self.service.name,
+                software_version=self.software_version,
+            )
         return load_balancer.Requirements(
             service=self.service.name,
             model=parsed.model,
             adapter=parsed.adapter,
             session=parsed.prompt[-1].part_id if parsed.prompt else "",
+            software_version=self.software_version,
         )
 
 
--- a/src/monsoonhinge/ingress/dialect.py
+++ b/src/monsoonhinge/ingress/dialect.py
@@ -61,6 +61,13 @@
     body: bytes = b""
     first_request_id: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the request whose response brought the first event."""
+        if self.last_event_id and self.first_request_id:
+            return self.first_request_id
+        return self.request_id
+
     @property
     def shared_parts(self) -> list[str]:
         """Ids of the prompt parts that other requests may have as well.
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -6,6 +6,7 @@
 import logging
 
 from monsoonhinge.control import client as control_client
+from monsoonhinge.ingress import take_up
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
@@ -22,6 +23,7 @@
 _MAX_SUBSCRIBED_MEMBERS = 3
 _GRANT_TIMEOUT_S = 0.5
 _PERMIT_TIMEOUT_S = 0.3
+_ORIGIN_TIMEOUT_S = 0.4
 
 # Changes of the demand within this time are sent in one message.
 _DEMAND_DELAY_S = 0.004
@@ -54,6 +56,7 @@
         on_model_delays: Callable[[fleet.ModelDelays], None],
         current_departures: Callable[[], list[fleet.Registration]],
         current_demand: Callable[[], fleet.FleetDemand],
+        current_origins: Callable[[], list[fleet.StreamOrigins]],
     ) -> None:
         super().__init__(members=members, identity=identity, listener=listener)
         self.gateway_count = 1
@@ -65,6 +68,7 @@
         self._on_model_delays = on_model_delays
         self._current_departures = current_departures
         self._current_demand = current_demand
+        self._current_origins = current_origins
         # Members to whose registrations this gateway subscribes.
         self._subscribed_members: set[connection.Connection] = set()
         self._active: dict[connection.Connection, fleet.FleetActive] = {}
@@ -81,10 +85,12 @@
         )
         self._subscribe_to_member(link)
         departures = self._current_departures()
-        if departures:
-            with contextlib.suppress(errors.ConnectionLost):
+        with contextlib.suppress(errors.ConnectionLost):
+            if departures:
                 for batch in registration_batches.split(departures):
                     link.notify(batch)
+            for origins in self._current_origins():
+                link.notify(origins)
 
     def disconnected(self, link: connection.Connection) -> None:
         """Drops the subscription to a member and replaces it by another."""
@@ -171,12 +177,43 @@
         )
         return permit.wait_us / 1e6
 
+    async def find_stream_origin(
+        self, request: fleet.FindStreamOrigin
+    ) -> take_up.MemberReplies:
+        """Asks all connected members where a stream began.
+
+        Returns:
+            Their replies; those of the others do not matter once one of them
+            has a record.
+        """
+        tasks = {
+            asyncio.create_task(
+                link.request(
+                    request, fleet.FoundStreamOrigin, timeout=_ORIGIN_TIMEOUT_S
+                )
+            )
+            for peer in self.peers.values()
+            if (link := peer.connection) is not None
+        }
+        replies: list[fleet.FoundStreamOrigin] = []
+        try:
+            for next_reply in asyncio.as_completed(tasks):
+                with contextlib.suppress(errors.MonsoonhingeError):
+                    replies.append(await next_reply)
+                    if replies[-1].recorded:
+                        break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return take_up.MemberReplies(replies=replies, members=len(self.peers))
+
     def report_to_all(
         self,
         report: fleet.TargetCrash
         | fleet.PartsServed
         | fleet.RateLimits
-        | fleet.Registrations,
+        | fleet.Registrations
+        | fleet.StreamOrigins,
     ) -> None:
         """Sends a report to all connected control members.
 
--- a/src/monsoonhinge/ingress/gateway_context.py
+++ b/src/monsoonhinge/ingress/gateway_context.py
@@ -11,6 +11,7 @@
 from monsoonhinge.ingress import rate_limiter
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import retry_budget
+from monsoonhinge.ingress import stream_origins
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_notices
 from monsoonhinge.ingress import wait_queue
@@ -30,6 +31,7 @@
         notices: Applies what targets say about themselves in responses.
         quarantine: Prompts that must not reach any target.
         crash_reporter: Reports crashed targets.
+        origins: Streams that this gateway has begun to relay.
         still_authorized: Returns whether the key of an admitted request is
             still valid.
         hopeless_wait: Returns the refusal of a request with these requirements
@@ -49,6 +51,7 @@
     notices: target_notices.TargetNotices
     quarantine: prompt_quarantine.PromptQuarantine
     crash_reporter: crash_reports.CrashReporter
+    origins: stream_origins.StreamOrigins
     still_authorized: Callable[[admission.AdmittedRequest], bool]
     hopeless_wait: Callable[
         [load_balancer.Requirements, float], refusal.Refusal | None
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -24,6 +24,8 @@
 from monsoonhinge.ingress import request_handler
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import state_dump
+from monsoonhinge.ingress import stream_origins
+from monsoonhinge.ingress import take_up
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_notices
 from monsoonhinge.ingress import target_table
@@ -62,7 +64,9 @@
     ) -> None:
         self.config = config
         self.identity = service.make_identity(config, "gateway")
-        self.targets = target_table.TargetTable()
+        self.targets = target_table.TargetTable(
+            known_since=asyncio.get_running_loop().time()
+        )
         self.balancer = load_balancer.LoadBalancer(
             targets=self.targets, availability_zone=config.availability_zone
         )
@@ -70,15 +74,7 @@
         self.model_delays = model_delays.ModelDelays()
         self.quarantine = prompt_quarantine.PromptQuarantine()
         self.fleet_client = fleet_client.FleetClient(
-            members=[
-                settings.Member(
-                    name=seed.host,
-                    address=settings.Address(
-                        host=seed.host, port=config.control_port
-                    ),
-                )
-                for seed in config.seeds
-            ],
+            members=_members(config),
             identity=self.identity,
             listener=self,
             on_registrations=self._on_registrations,
@@ -88,6 +84,12 @@
             on_model_delays=self._on_model_delays,
             current_departures=self._current_departures,
             current_demand=self._current_demand,
+            current_origins=lambda: self.origins.sent(
+                asyncio.get_running_loop().time()
+            ),
+        )
+        self.origins = stream_origins.StreamOrigins(
+            targets=self.targets, send=self.fleet_client.report_to_all
         )
         self.admission = admission.Admission(
             key_secret=config.key_secret.encode(),
@@ -142,6 +144,7 @@
             notices=self.notices,
             quarantine=self.quarantine,
             crash_reporter=self._crash_reporter,
+            origins=self.origins,
             still_authorized=lambda admitted: self.admission.still_authorized(
                 admitted,
                 view=self.fleet_client.view,
@@ -156,6 +159,11 @@
             client=self.fleet_client,
             admission_control=self.admission,
             token_quota=self.quota,
+            take_ups=take_up.TakeUps(
+                origins=self.origins,
+                targets=self.targets,
+                ask_members=self.fleet_client.find_stream_origin,
+            ),
         )
         self.fleet_client.start()
         await self._listeners.listen(self.handler.handle, self.config.callers)
@@ -190,15 +198,8 @@
 
     def reload(self, config: settings.Ingress) -> None:
         """Applies changed seeds; other changed settings need a restart."""
-        for seed in config.seeds:
-            self.fleet_client.add_member(
-                settings.Member(
-                    name=seed.host,
-                    address=settings.Address(
-                        host=seed.host, port=config.control_port
-                    ),
-                )
-            )
+        for member in _members(config):
+            self.fleet_client.add_member(member)
 
     async def stop(self) -> None:
         """Cancels all tasks and closes all connections and listeners.
@@ -263,6 +264,7 @@
                     service=registration.service,
                     software_version=registration.software_version,
                 )
+                self.origins.send_unsent(registration.service, now)
         self.quota.gateway_count = self.fleet_client.gateway_count
         self.retry_budget.gateway_count = self.fleet_client.gateway_count
         self.rate_limiter.gateway_count = self.fleet_client.gateway_count
@@ -385,3 +387,14 @@
             metrics.CONFIG_STALENESS_SECONDS.set(
                 self.fleet_client.staleness(loop.time())
             )
+
+
+def _members(config: settings.Ingress) -> list[settings.Member]:
+    """Returns the control members that the settings name."""
+    return [
+        settings.Member(
+            name=seed.host,
+            address=settings.Address(host=seed.host, port=config.control_port),
+        )
+        for seed in config.seeds
+    ]
--- a/src/monsoonhinge/ingress/refusal.py
+++ b/src/monsoonhinge/ingress/refusal.py
@@ -23,6 +23,7 @@
     TIMEOUT = "timeout"
     ANSWER_LOST = "answer_lost"
     CRASHES_TARGETS = "crashes_targets"
+    ORIGIN_UNKNOWN = "origin_unknown"
     VERSION_GONE = "version_gone"
 
 
@@ -41,6 +42,7 @@
     Reason.TIMEOUT: 504,
     Reason.ANSWER_LOST: 502,
     Reason.CRASHES_TARGETS: 503,
+    Reason.ORIGIN_UNKNOWN: 503,
     Reason.VERSION_GONE: 503,
 }
 
--- a/src/monsoonhinge/ingress/request_handler.py
+++ b/src/monsoonhinge/ingress/request_handler.py
@@ -17,6 +17,7 @@
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import request_executor
 from monsoonhinge.ingress import startup
+from monsoonhinge.ingress import take_up
 from monsoonhinge.ingress import timeouts
 from monsoonhinge.ingress import token_reservation
 from monsoonhinge.runtime import events
@@ -44,6 +45,7 @@
         client: fleet_client.FleetClient,
         admission_control: admission.Admission,
         token_quota: quota.Quota,
+        take_ups: take_up.TakeUps,
     ) -> None:
         self.context = context
         self.close_connections = False
@@ -60,6 +62,7 @@
         self._client = client
         self._admission = admission_control
         self._quota = token_quota
+        self._take_ups = take_ups
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request."""
@@ -99,6 +102,10 @@
                     refusal.Reason.STOPPING, retry_after_s=0.05, step="drain"
                 )
             admitted = await self._admit(parsed, arrived_at)
+            if parsed.last_event_id and admitted.route.resumable:
+                admitted = await self._take_ups.bind(
+                    parsed, admitted, self._client.view
+                )
             execution = admitted.route.execution
             self.context.quarantine.check(
                 parsed.shared_parts, asyncio.get_running_loop().time()
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -10,6 +10,7 @@
 from monsoonhinge.ingress import readiness
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
+from monsoonhinge.ingress import stream_origins
 from monsoonhinge.ingress import target_table
 from monsoonhinge.ingress import timeouts
 from monsoonhinge.ingress import token_reservation
@@ -92,7 +93,8 @@
     def bind(self, target: target_table.Target) -> None:
         """Binds the rest of a stream to the target that sends its next event.
 
-        Further attempts go to targets that run the same software version.
+        Further attempts go to targets that run the same software version, and
+        so do those of a caller that takes the stream up.
 
         Raises:
             forward.AnswerLost: The target has restarted as another version
@@ -110,6 +112,16 @@
         self.requirements = dataclasses.replace(
             self.requirements, software_version=registration.software_version
         )
+        if self._admitted.route.resumable:
+            self._context.origins.record(
+                self._parsed.stream_id,
+                stream_origins.StreamOrigin(
+                    service=registration.service,
+                    software_version=registration.software_version,
+                ),
+                timeout_s=self._admitted.route.timeout_ms / 1000,
+                now=self._loop.time(),
+            )
 
     def check_version(self, target: target_table.Target) -> None:
         """Ends a stream whose earlier events may be of another version.
@@ -120,6 +132,12 @@
         """
         if not self._context.balancer.targets.runs_other_version_now(target):
             return
+        self._context.origins.record(
+            self._parsed.stream_id,
+            stream_origins.UNCERTAIN,
+            timeout_s=self._admitted.route.timeout_ms / 1000,
+            now=self._loop.time(),
+        )
         raise relay.BrokenOff
 
     def wait_refusal(self) -> refusal.Refusal:
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -9,6 +9,7 @@
 from monsoonhinge.ingress import announcement_order
 from monsoonhinge.ingress import rate_limit_state
 from monsoonhinge.protocol import fleet
+from monsoonhinge.targets import software_versions
 
 READY = "ready"
 SILENT = "silent"
@@ -122,10 +123,18 @@
         fencing: Fencing token of the latest placements.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, known_since: float = 0.0) -> None:
+        """Creates a table without targets.
+
+        Args:
+            known_since: Time of its creation.
+        """
         self.by_name: dict[str, Target] = {}
         self.fencing = 0
         self._order = announcement_order.AnnouncementOrder()
+        self._versions = software_versions.SoftwareVersions(
+            known_since=known_since
+        )
         self._placements: dict[str, fleet.Placement] = {}
 
     def register(self, registration: fleet.Registration, now: float) -> bool:
@@ -152,6 +161,7 @@
         else:
             self._remove_predecessors(registration)
             target = self.by_name[name] = Target(registration)
+        self._observe_version(registration, now)
         placement = self._placements.get(name)
         if (
             placement is None
@@ -251,6 +261,34 @@
             != target.registration.software_version
         )
 
+    def sole_version(
+        self, service: str, now: float
+    ) -> software_versions.SoleVersion | None:
+        """Returns the only software version of a service, as far as known."""
+        self._observe_versions(now)
+        return self._versions.sole_version(service, now)
+
+    def runs_other_versions(
+        self,
+        service: str,
+        software_version: str,
+        *,
+        within_s: float,
+        now: float,
+    ) -> bool:
+        """Returns whether targets of a service have run another version.
+
+        Args:
+            service: The service.
+            software_version: The version that does not count.
+            within_s: Seconds before now that are considered.
+            now: Current time.
+        """
+        self._observe_versions(now)
+        return self._versions.others_since(
+            service, software_version, now - within_s
+        )
+
     def earliest_ready_at(
         self,
         *,
@@ -293,6 +331,17 @@
                 if model.state == "loading"
             }
 
+    def _observe_versions(self, now: float) -> None:
+        for target in self.by_name.values():
+            self._observe_version(target.registration, now)
+
+    def _observe_version(
+        self, registration: fleet.Registration, now: float
+    ) -> None:
+        self._versions.observe(
+            registration.service, registration.software_version, now
+        )
+
     def _remove_predecessors(self, registration: fleet.Registration) -> None:
         for name, other in list(self.by_name.items()):
             if (
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -323,3 +323,62 @@
     """
 
     wait_us: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class StreamOrigin:
+    """Which software began a stream.
+
+    Attributes:
+        stream: Id of the request whose response brought its first event.
+        service: Service of the target that wrote it.
+        software_version: Version of the software of that target.
+        keep_ms: Time for which the stream may be taken up.
+    """
+
+    stream: str = ""
+    service: str = ""
+    software_version: str = ""
+    keep_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class StreamOrigins:
+    """Records of streams that a gateway is about to relay, or has relayed."""
+
+    origins: list[StreamOrigin] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class FindStreamOrigin:
+    """Asks a control member where a stream began.
+
+    Attributes:
+        stream: Id of the request that brought the first event; "" if the
+            caller did not name it.
+        service: Service at which it would go on if no record is found.
+    """
+
+    stream: str = ""
+    service: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class FoundStreamOrigin:
+    """Reply to FindStreamOrigin.
+
+    Attributes:
+        recorded: Whether there is a record of the stream.
+        service: Service of the record.
+        software_version: Software version of the record.
+        sole_version: Version that targets of the requested service have run
+            last.
+        sole_for_ms: For how long it has been the only one, as far as this
+            member knows; 0 if it knows of no target.
+    """
+
+    recorded: bool = False
+    service: str = ""
+    software_version: str = ""
+    sole_version: str = ""
+    sole_for_ms: int = 0
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -615,4 +615,7 @@
     | fleet.PermitRequest
     | fleet.Permit
     | fleet.ModelDelays
+    | fleet.StreamOrigins
+    | fleet.FindStreamOrigin
+    | fleet.FoundStreamOrigin
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -481,6 +481,30 @@
   waitUs @0 :Int64;
 }
 
+struct StreamOrigin {
+  stream @0 :Text;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  keepMs @3 :Int64;
+}
+
+struct StreamOrigins {
+  origins @0 :List(StreamOrigin);
+}
+
+struct FindStreamOrigin {
+  stream @0 :Text;
+  service @1 :Text;
+}
+
+struct FoundStreamOrigin {
+  recorded @0 :Bool;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  soleVersion @3 :Text;
+  soleForMs @4 :Int64;
+}
+
 struct Envelope {
   # A reply carries the id of its request; notifications have the id 0.
   id @0 :UInt64;
@@ -537,6 +561,9 @@
     permitRequest @50 :PermitRequest;
     permit @51 :Permit;
     modelDelays @52 :ModelDelays;
+    streamOrigins @53 :StreamOrigins;
+    findStreamOrigin @54 :FindStreamOrigin;
+    foundStreamOrigin @55 :FoundStreamOrigin;
   }
 }
 
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -3,8 +3,10 @@
 import asyncio
 import pathlib
 import re
+import time
 
 import aiohttp
+import pytest
 
 from monsoonhinge.ingress import process as ingress_process
 from tests.control import stub
@@ -164,3 +166,95 @@
             assert len(events) < 6
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("where", ["same", "other", "new"])
+def test_stream_is_taken_up_at_its_version(
+    where: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a take-up at another version than the first part's.
+
+    The gateway that began it may be alive, another one, or gone with all
+    others.
+    """
+
+    async def run() -> None:
+        deployment = _TwoVersions(tmp_path)
+        async with test_path.run_deployment(deployment):
+            await deployment.remove_rates()
+            for server in deployment.servers:
+                server.event_interval_s = 0.02
+            begun = {}
+            for number in range(8):
+                _, events = await deployment.events(f"r{number}", most=2)
+                begun[f"r{number}"] = events
+            port = {
+                "same": deployment.ingress_port,
+                "other": deployment.second_port,
+            }.get(where)
+            if port is None:
+                port = await deployment.replace_gateways()
+            for request_id, first_part in begun.items():
+                status, rest = await deployment.events(
+                    f"{request_id}-again",
+                    port=port,
+                    last_event_id="1",
+                    first_request_id=request_id,
+                )
+                assert status == 200
+                assert len(first_part + rest) == 6
+                assert len(_versions(first_part + rest)) == 1
+
+    asyncio.run(run())
+
+
+def test_unknown_stream_is_refused_at_once(tmp_path: pathlib.Path) -> None:
+    """Guards against a take-up at any version if the first one is unknown."""
+
+    async def run() -> None:
+        deployment = _TwoVersions(tmp_path)
+        async with test_path.run_deployment(deployment):
+            await deployment.remove_rates()
+            for first_request_id in ("", "never sent"):
+                started_at = time.monotonic()
+                status, events = await deployment.events(
+                    "r1", last_event_id="1", first_request_id=first_request_id
+                )
+                assert (status, events) == (503, [])
+                assert time.monotonic() - started_at < _AT_ONCE_S
+
+    asyncio.run(run())
+
+
+def test_stream_whose_version_left_is_refused_at_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a request that waits for a version that has left."""
+
+    async def run() -> None:
+        deployment = _TwoVersions(tmp_path)
+        async with test_path.run_deployment(deployment):
+            await deployment.remove_rates()
+            for server in deployment.servers:
+                server.event_interval_s = 0.02
+            _, events = await deployment.events("r1", most=2)
+            (version,) = _versions(events)
+            gateway = deployment.second_gateway
+
+            async def has_left() -> bool:
+                return not gateway.targets.available_targets("llm", version)
+
+            for server in deployment.of_version(version):
+                assert await deployment.announces_drain(server)
+            await test_path.wait_until(has_left)
+            started_at = time.monotonic()
+            status, events = await deployment.events(
+                "r2",
+                port=deployment.second_port,
+                last_event_id="1",
+                first_request_id="r1",
+            )
+            assert (status, events) == (503, [])
+            assert time.monotonic() - started_at < _AT_ONCE_S
+
+    asyncio.run(run())
