Load models where streams that are taken up can go on

What callers saw: a stream that only one software version may go on with waited three seconds and got 503 (not_in_time), although two engines of that version served: its model was loaded elsewhere.

Cause: the gateways reported these requests like any other, and the planner saw a model that already serves, at engines of the other version.

Change: gateways report them by software version, and the planner loads the model from a copy at an engine of that version, if none there has it.

Evidence: tests/fleet/test_placement.py::test_model_is_loaded_where_a_stream_ can_go_on and tests/fleet/test_demand.py fail before (no such count) and pass after.

--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -43,6 +43,8 @@
         arrived: Requests since the start of each gateway.
         served: Recent requests that targets ran, over minutes.
         unserved: Recent requests that ended while they waited for a target.
+        bound: Waiting requests by the software version that must serve them.
+            They take up streams, and ``waiting`` does not count them.
     """
 
     waiting: int = 0
@@ -55,6 +57,7 @@
     arrived: int = 0
     served: float = 0.0
     unserved: float = 0.0
+    bound: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def deficit(self) -> float:
@@ -215,6 +218,10 @@
 
 def _add_waiting(need: Need, item: fleet.ModelNeed, received_at: float) -> None:
     """Adds the waiting requests of one gateway to a need."""
+    if item.software_version:
+        version = item.software_version
+        need.bound[version] = need.bound.get(version, 0) + item.waiting
+        return
     need.waiting += item.waiting
     need.priority = min(need.priority, item.priority)
     need.earliest_latency_deadline = min(
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -41,6 +41,7 @@
     planner = _Planner(service, fleet, needs, store, now)
     planner.fill_empty_engines(from_store=False)
     planner.load_waiting()
+    planner.load_for_streams()
     planner.load_uncached()
     planner.fill_empty_engines(from_store=True)
     planner.replicate_busy()
@@ -142,6 +143,28 @@
         for model, need in candidates:
             self._plan_load(model, need, "waiting")
 
+    def load_for_streams(self) -> None:
+        """Loads models that streams need which go on at one version only.
+
+        Their requests wait although the model serves on engines that run other
+        software versions.
+        """
+        for model, need in self.needs.items():
+            for version in need.bound:
+                engines_of_version = [
+                    engine
+                    for engine in self.fleet
+                    if engine.registration.software_version == version
+                ]
+                if any(model in item.replicas for item in engines_of_version):
+                    continue
+                among = {
+                    engine.target: engine
+                    for engine in engines_of_version
+                    if engine.target in self.available
+                }
+                self._plan_load(model, need, "stream", among=among)
+
     def load_uncached(self) -> None:
         """Loads models without a copy, most valuable first.
 
--- a/src/monsoonhinge/ingress/wait_queue.py
+++ b/src/monsoonhinge/ingress/wait_queue.py
@@ -111,8 +111,14 @@
         return sum(len(queue) for queue in self._queued.values())
 
     def model_needs(self, now: float) -> list[fleet.ModelNeed]:
-        """Returns the demand for the report, by model and adapter."""
-        needs_by_key = self.demand.needs(now)
+        """Returns the demand for the report.
+
+        There is an item for each model and adapter, and for each software
+        version that waiting requests are bound to.
+        """
+        needs_by_key = {
+            (*names, ""): need for names, need in self.demand.needs(now).items()
+        }
         for requirements, queue in self._queued.items():
             if not requirements.model:
                 continue
@@ -120,6 +126,7 @@
                 requirements.service,
                 requirements.model,
                 requirements.adapter,
+                requirements.software_version or "",
             )
             model_need = needs_by_key.setdefault(
                 key,
@@ -127,6 +134,7 @@
                     service=requirements.service,
                     model=requirements.model,
                     adapter=requirements.adapter,
+                    software_version=requirements.software_version or "",
                 ),
             )
             latency_left_s = (
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -126,6 +126,9 @@
             count less.
         unserved_milli: The same for requests that ended while they waited for
             a target.
+        software_version: Version that must serve the waiting requests, which
+            take up streams; "" if any may. Other counts are in the item
+            without a version.
     """
 
     service: str = ""
@@ -139,6 +142,7 @@
     rate_per_ks: int = 0
     served_milli: int = 0
     unserved_milli: int = 0
+    software_version: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -386,6 +386,7 @@
   ratePerKs @8 :Int64;
   servedMilli @9 :Int64;
   unservedMilli @10 :Int64;
+  softwareVersion @11 :Text;
 }
 
 struct TargetUse {
--- a/tests/fleet/test_demand.py
+++ b/tests/fleet/test_demand.py
@@ -111,3 +111,18 @@
         fleet.FleetDemand(gateway="b"),
     )
     assert tracker.unreachable_targets() == {"i-1"}
+
+
+def test_request_that_one_version_must_serve_waits_for_that_version() -> None:
+    """Guards against a load at another version for a stream that goes on."""
+    bound = fleet.ModelNeed(
+        service="s", model="m", waiting=2, software_version="v1"
+    )
+    needs = [_need(waiting=1), bound]
+    tracker = _tracker(
+        fleet.FleetDemand(gateway="a", needs=needs),
+        fleet.FleetDemand(gateway="b", needs=[bound]),
+    )
+    found = _found(tracker, 0.0)
+    assert found.waiting == 1
+    assert found.bound == {"v1": 4}
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -1,5 +1,6 @@
 """Tests of the placement of models and adapters, by load pattern."""
 
+import dataclasses
 import math
 
 import hypothesis
@@ -86,6 +87,46 @@
     assert (swap.target, swap.from_store) == ("t2", False)
 
 
+def _engine_of(
+    version: str, target: str, *, models: tuple[str, ...]
+) -> engines.Engine:
+    engine = world.engine(target, models=models, on_disk=("m9",))
+    engine.registration = dataclasses.replace(
+        engine.registration, software_version=version
+    )
+    return engine
+
+
+def test_model_is_loaded_where_a_stream_can_go_on() -> None:
+    """Guards against streams refused as their model serves at other versions.
+
+    The engine that began them has replaced the model or has crashed.
+    """
+    fleet = [
+        _engine_of("v2", "t1", models=("m9",)),
+        _engine_of("v2", "t2", models=("m1",)),
+        _engine_of("v1", "t3", models=("m1", "m2", "m3")),
+    ]
+    need = _need(rate=0.1)
+
+    def loads() -> list[tuple[str, str]]:
+        swaps = _plan(fleet, {"m9": need})
+        return [
+            (swap.target, swap.model)
+            for swap in swaps
+            if swap.reason == "stream"
+        ]
+
+    assert not loads()
+    need.bound["v1"] = 1
+    assert loads() == [("t3", "m9")]
+    fleet[2] = _engine_of("v1", "t3", models=("m9",))
+    assert not loads()
+    # Nobody runs this version, so that no load helps.
+    need.bound = {"v3": 1}
+    assert not loads()
+
+
 def test_rarely_used_model_does_not_block_an_engine_for_a_store_load() -> None:
     """Guards against occupying an engine for a store load of six seconds.
 
--- a/tests/ingress/test_decisions.py
+++ b/tests/ingress/test_decisions.py
@@ -1,6 +1,7 @@
 """Tests of the decision logic of the ingress, without connections."""
 
 import asyncio
+import dataclasses
 import random
 
 import hypothesis
@@ -369,6 +370,17 @@
         queue.dispatch(0.0)
         (item,) = queue.model_needs(1.0)
         assert (item.waiting, item.arrived, item.timely_for_ms) == (1, 1, 1000)
+        bound = dataclasses.replace(
+            queued,
+            requirements=dataclasses.replace(
+                requirements, software_version="v1"
+            ),
+        )
+        queue.add(bound)
+        any_version, one_version = queue.model_needs(1.0)
+        assert (any_version.waiting, one_version.waiting) == (1, 1)
+        assert one_version.software_version == "v1"
+        queue.remove(bound)
         assert item.patient_for_ms == 3000
         balancer.targets.by_name["a"].models["m"] = set()
         queue.dispatch(0.1)
