Send records of streams only to members that read them

Cause: a control member of an earlier build closes the connection of a gateway that sends it a message it does not know, so that a roll-out with gateways first would have broken.

Change: members say in FleetActive that they keep records of streams; gateways send records, and ask, only where that is said.

A mixed roll-out with processes of two builds was not played.

--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -106,7 +106,7 @@
         client.on_leaving = self.registrar.record_leaving
         self._engine_client = client
         self._plan_requested = asyncio.Event()
-        self._announced_leases = fleet.FleetActive()
+        self._announced_leases = fleet.FleetActive(keeps_stream_origins=True)
         self._leader = ""
         self._leader_seen_at = 0.0
         self._fleet_tasks: list[asyncio.Task[None]] = []
@@ -313,6 +313,7 @@
         message = fleet.FleetActive(
             fencing=0 if self.controller is None else self.controller.fencing,
             budget_fencing=0 if budget is None else budget.fencing,
+            keeps_stream_origins=True,
         )
         if message == self._announced_leases:
             return
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -85,12 +85,10 @@
         )
         self._subscribe_to_member(link)
         departures = self._current_departures()
-        with contextlib.suppress(errors.ConnectionLost):
-            if departures:
+        if departures:
+            with contextlib.suppress(errors.ConnectionLost):
                 for batch in registration_batches.split(departures):
                     link.notify(batch)
-            for origins in self._current_origins():
-                link.notify(origins)
 
     def disconnected(self, link: connection.Connection) -> None:
         """Drops the subscription to a member and replaces it by another."""
@@ -123,6 +121,8 @@
                 self._update_members(message.members)
                 self._on_registrations(message.registrations)
             case fleet.FleetActive():
+                if link not in self._active:
+                    self._send_origins(link, message, self._current_origins())
                 self._active[link] = message
                 self.demand_changed()
             case fleet.Placements():
@@ -192,8 +192,8 @@
                     request, fleet.FoundStreamOrigin, timeout=_ORIGIN_TIMEOUT_S
                 )
             )
-            for peer in self.peers.values()
-            if (link := peer.connection) is not None
+            for link, active in self._active.items()
+            if active.keeps_stream_origins
         }
         replies: list[fleet.FoundStreamOrigin] = []
         try:
@@ -207,13 +207,17 @@
                 task.cancel()
         return take_up.MemberReplies(replies=replies, members=len(self.peers))
 
+    def send_origins(self, message: fleet.StreamOrigins) -> None:
+        """Sends records of streams to all members that read them."""
+        for link, active in self._active.items():
+            self._send_origins(link, active, [message])
+
     def report_to_all(
         self,
         report: fleet.TargetCrash
         | fleet.PartsServed
         | fleet.RateLimits
-        | fleet.Registrations
-        | fleet.StreamOrigins,
+        | fleet.Registrations,
     ) -> None:
         """Sends a report to all connected control members.
 
@@ -244,6 +248,18 @@
             with contextlib.suppress(errors.ConnectionLost):
                 link.notify(self._current_demand())
 
+    def _send_origins(
+        self,
+        link: connection.Connection,
+        active: fleet.FleetActive,
+        origins: list[fleet.StreamOrigins],
+    ) -> None:
+        if not active.keeps_stream_origins:
+            return
+        with contextlib.suppress(errors.ConnectionLost):
+            for message in origins:
+                link.notify(message)
+
     def _lease_holder(
         self, fencing: Callable[[fleet.FleetActive], int]
     ) -> connection.Connection | None:
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -89,7 +89,7 @@
             ),
         )
         self.origins = stream_origins.StreamOrigins(
-            targets=self.targets, send=self.fleet_client.report_to_all
+            targets=self.targets, send=self.fleet_client.send_origins
         )
         self.admission = admission.Admission(
             key_secret=config.key_secret.encode(),
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -99,10 +99,13 @@
             it does not hold the lease.
         budget_fencing: Token of the budget lease, under which it grants
             tokens; 0 if it does not hold the lease.
+        keeps_stream_origins: Whether the build of the sender reads
+            StreamOrigins and FindStreamOrigin.
     """
 
     fencing: int = 0
     budget_fencing: int = 0
+    keeps_stream_origins: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -372,6 +372,7 @@
 struct FleetActive {
   fencing @0 :UInt64;
   budgetFencing @1 :UInt64;
+  keepsStreamOrigins @2 :Bool;
 }
 
 struct ModelNeed {
