Let targets of the soak run two software versions

Cause: the soak had no streams that are taken up, so that it could not show joined text (ORDER).

Change: callers that take broken streams up at any gateway, targets whose incarnations draw one of two versions, and the kill of all gateways at once; a stream with events of two versions, or with a missing or repeated event, is a violation.

--- a/tests/soak/http11.py
+++ b/tests/soak/http11.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 messages whose bytes and connections the soak controls itself."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import dataclasses
 import re
 
@@ -79,6 +80,24 @@
         await self._writer.drain()
         return await read_message(self._reader, answers=method)
 
+    async def stream(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> AsyncIterator[tuple[int, bytes]]:
+        """Sends a request and yields its status with each chunk of the body.
+
+        Raises:
+            OSError, EOFError: The response is missing or incomplete.
+            MalformedResponseError: The head of the response is malformed.
+        """
+        fields = {"Host": "h", "Content-Length": str(len(body))} | headers
+        self._writer.write(encode(f"{method} {path} HTTP/1.1", fields, body))
+        await self._writer.drain()
+        head = await _read_head(self._reader, answers=method)
+        yield head.status, b""
+        if "chunked" in head.headers.get("transfer-encoding", "").lower():
+            async for chunk in _chunks(self._reader):
+                yield head.status, chunk
+
     def close(self) -> None:
         """Closes the connection at once."""
         self._writer.transport.abort()
@@ -103,6 +122,20 @@
         EOFError: The stream ended before the message was complete.
         MalformedResponseError: The head of a response is malformed.
     """
+    message = await _read_head(reader, answers=answers)
+    headers = message.headers
+    body = b""
+    if answers == "HEAD":
+        pass
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    elif "chunked" in headers.get("transfer-encoding", "").lower():
+        body = b"".join([chunk async for chunk in _chunks(reader)])
+    return dataclasses.replace(message, body=body)
+
+
+async def _read_head(reader: asyncio.StreamReader, *, answers: str) -> Message:
+    """Reads the head of a message; its body is empty."""
     head = await reader.readuntil(b"\r\n\r\n")
     if answers and not _RESPONSE_HEAD.fullmatch(head):
         raise MalformedResponseError(repr(head))
@@ -111,20 +144,18 @@
     for line in lines:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    body = b""
-    if answers == "HEAD":
-        pass
-    elif "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    elif "chunked" in headers.get("transfer-encoding", "").lower():
-        body = await _read_chunks(reader)
-    return Message(start, headers, body)
+    return Message(start, headers, b"")
+
+
+async def _chunks(reader: asyncio.StreamReader) -> AsyncIterator[bytes]:
+    while size := int(await _read_line(reader), 16):
+        yield await reader.readexactly(size)
+        await _read_line(reader)
+    await _read_line(reader)
 
 
-async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
-    parts = []
-    while size := int(await reader.readline() or b"-", 16):
-        parts.append(await reader.readexactly(size))
-        await reader.readline()
-    await reader.readline()
-    return b"".join(parts)
+async def _read_line(reader: asyncio.StreamReader) -> bytes:
+    line = await reader.readline()
+    if not line:
+        raise EOFError
+    return line
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -13,11 +13,13 @@
 from monsoonhinge.bench import ports
 from tests.soak import caller
 from tests.soak import record as records
+from tests.soak import stream_record
+from tests.soak import streams
 from tests.soak import system as systems
 from tests.soak import target as targets
 from tests.soak import troubles
 
-_SERVICES = ("once", "stream", "often")
+_SERVICES = ("once", "stream", "often", "resumed")
 _START_TIMEOUT_S = 30.0
 # Requests that were sent to a target may still run.
 _SETTLING_S = 2.5
@@ -35,6 +37,7 @@
         gateways: Number of gateways.
         targets: Number of targets of each service.
         callers: Number of callers.
+        stream_callers: Number of callers that take streams up.
         planned_only: Whether there are only planned stops and changes, in which
             no request may be cut off.
     """
@@ -45,6 +48,7 @@
     gateways: int = 3
     targets: int = 2
     callers: int = 24
+    stream_callers: int = 8
     planned_only: bool = False
 
 
@@ -79,7 +83,9 @@
 
     async def _start(self) -> None:
         for service in _SERVICES:
-            for _ in range(self._plan.targets):
+            # Several of each software version serve the streams.
+            count = self._plan.targets * (2 if service == "resumed" else 1)
+            for _ in range(count):
                 address = f"127.0.0.1:{_PORTS.allocate()}"
                 self._services[address] = service
                 await self._start_target(address)
@@ -107,6 +113,17 @@
             )
             for _ in range(self._plan.callers)
         ]
+        tasks += [
+            loop.create_task(
+                streams.StreamCaller(
+                    gateways=self._system.entries,
+                    record=self.record,
+                    key=caller.KEY,
+                    rng=random.Random(self._rng.random()),
+                ).run()
+            )
+            for _ in range(self._plan.stream_callers)
+        ]
         await troubles.Troubles(
             stage=stage,
             record=self.record,
@@ -125,6 +142,7 @@
             control=self._system.control,
             record=self.record,
             rng=self._rng,
+            software_version=self._rng.choice(stream_record.SOFTWARE_VERSIONS),
         )
         await target.start()
         self._targets[address] = target
@@ -152,6 +170,7 @@
                 _route("once", execution="non_idempotent"),
                 _route("stream", execution="streaming"),
                 _route("often", execution="idempotent"),
+                _route("resumed", execution="streaming", resumable=True),
                 _route("often", name=f"v{self._version}"),
             ],
             "services": [
@@ -162,14 +181,19 @@
 
 
 def _route(
-    service: str, *, name: str = "", execution: str = "idempotent"
+    service: str,
+    *,
+    name: str = "",
+    execution: str = "idempotent",
+    resumable: bool = False,
 ) -> dict[str, Any]:
     return {
         "name": name or service,
         "host": caller.HOST,
         "pathPrefix": f"/{name or service}/",
         "type": execution,
-        "timeoutMs": 1500,
+        "timeoutMs": 4000 if resumable else 1500,
+        "resumable": resumable,
         "targetLatencyMs": 200,
         "targetGapMs": 300,
         "service": service,
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+from tests.soak import stream_record
+
 # A request that crosses the close of its connection ends within this time.
 _CROSSING_S = 0.2
 
@@ -69,12 +71,14 @@
         calls: Calls by request id.
         runs: Runs by request id.
         notes: Troubles, in order.
+        streams: Streams that callers take up when they break off.
     """
 
     def __init__(self) -> None:
         self.calls: dict[str, Call] = {}
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.notes: list[str] = []
+        self.streams: list[stream_record.Stream] = []
 
     def violations(self) -> list[str]:
         """Returns a line for each broken rule."""
@@ -90,6 +94,8 @@
                 lines.append(f"MIXED no target ran {call}")
             if call.malformed_head or (call.signature and call.status != 200):
                 lines.append(f"MIXED {call}: {self.runs[call.request_id]}")
+        for stream in self.streams:
+            lines += stream.violations()
         return lines
 
     def lost_calls(self) -> list[str]:
@@ -135,7 +141,13 @@
         endings = collections.Counter(
             f"run {run.ending}" for runs in self.runs.values() for run in runs
         )
-        return dict(sorted((outcomes + endings).items()))
+        complete = sum(stream.is_complete for stream in self.streams)
+        taken_up = sum(stream.taken_up for stream in self.streams)
+        return dict(sorted((outcomes + endings).items())) | {
+            "streams": len(self.streams),
+            "complete streams": complete,
+            "take-ups that went on": taken_up,
+        }
 
 
 def signature(target: str, request_id: str) -> str:
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -12,6 +12,7 @@
 
 from tests.soak import http11
 from tests.soak import record as records
+from tests.soak import stream_record
 from tests.targets import malformed_heads
 
 _SLOTS = 6
@@ -20,6 +21,7 @@
 _CALL_TIMEOUT_S = 1.0
 _DRAIN_S = 2.0
 _EVENT_INTERVAL_S = 0.01
+_STREAM_INTERVAL_S = 0.03
 
 _numbers = itertools.count()
 
@@ -84,6 +86,7 @@
         control: list[str],
         record: records.Record,
         rng: random.Random,
+        software_version: str,
     ) -> None:
         self.name = f"t-{next(_numbers)}"
         self.address = f"127.0.0.1:{port}"
@@ -93,6 +96,7 @@
         self._control = control
         self._record = record
         self._rng = rng
+        self._software_version = software_version
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._state = "ready"
@@ -145,6 +149,7 @@
             "state": self._state,
             "sequence": self._sequence,
             "born": self._born,
+            "version": self._software_version,
         }
         await self._call_control("PUT", json.dumps(announcement).encode())
 
@@ -247,6 +252,8 @@
             "unstated",
             "repeated",
         )
+        if request.path.startswith(stream_record.PREFIX):
+            return await self._stream(request, writer, run)
         answer = _answer(self.name, request)
         match run.ending:
             case "reset":
@@ -272,6 +279,43 @@
             writer.write(answer)
         return answer if run.ending == "repeated" else b""
 
+    async def _stream(
+        self,
+        request: http11.Message,
+        writer: asyncio.StreamWriter,
+        run: records.Run,
+    ) -> bytes:
+        """Sends a stream from the event on that the request names.
+
+        Raises:
+            ConnectionError: The stream breaks off.
+        """
+        if run.ending == "unstated":
+            writer.write(_empty_answer(request, 503))
+            return b""
+        request_id = request.headers.get("x-request-id", "")
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Server-Signature": records.signature(self.name, request_id),
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        breaks_at = stream_record.EVENT_COUNT
+        if run.ending:
+            breaks_at = self._rng.randrange(first, stream_record.EVENT_COUNT)
+        writer.write(http11.encode("HTTP/1.1 200 OK", headers, b""))
+        for number in range(first, stream_record.EVENT_COUNT):
+            if number == breaks_at:
+                writer.transport.abort()
+                raise ConnectionAbortedError
+            event = stream_record.event(number, self._software_version)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(_STREAM_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
+        return b""
+
 
 async def call(
     address: str, method: str, path: str, body: bytes
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -79,6 +79,7 @@
             self._crash_target,
             self._kill_process,
             self._freeze_process,
+            self._kill_all_gateways,
         )
         kinds = planned if self._planned_only else planned + unplanned
         async with asyncio.TaskGroup() as group:
@@ -120,6 +121,16 @@
             await asyncio.to_thread(process.wait, time.monotonic() + 1.0)
             await self._restart(process)
 
+    async def _kill_all_gateways(self) -> None:
+        taken = []
+        while process := self._take_process(self._stage.system.gateways):
+            taken.append(process)
+        for process in taken:
+            process.send_signal(signal.SIGKILL)
+        for process in taken:
+            await asyncio.to_thread(process.wait, time.monotonic() + 1.0)
+        await asyncio.gather(*(self._restart(process) for process in taken))
+
     async def _stop_gateway(self) -> None:
         process = self._take_process(self._stage.system.gateways)
         if process is not None:
