Keep the record of a stream at each gateway that takes it up

Cause: the record of a stream expired by the time at which it began, and a stream that went on because only one version could have begun it had none, so that a further take-up could be refused. And each stream looked at all targets.

Change: a gateway records a stream as well when it takes it up, and observes the software versions of its targets four times a second.

Evidence: the take-up at another gateway in test_software_versions.py found no record there before and does now. At the target size, 24 streams a second and 2,600 targets would have been 62,000 steps a second for each gateway (computed).

--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -107,8 +107,6 @@
                 step="relay",
                 peer=registration.address,
             )
-        if self.requirements.software_version is not None:
-            return
         self.requirements = dataclasses.replace(
             self.requirements, software_version=registration.software_version
         )
--- a/src/monsoonhinge/ingress/target_table.py
+++ b/src/monsoonhinge/ingress/target_table.py
@@ -26,6 +26,10 @@
 # probably gone.
 _SILENT_RECONNECT_DELAY_S = 10.0
 
+# Interval at which the software versions in use are observed. It is short
+# beside the life of a stream.
+_OBSERVATION_INTERVAL_S = 0.25
+
 # Weight of the latest response in the moving average of a target's latency.
 _LATENCY_WEIGHT = 0.2
 
@@ -135,6 +139,7 @@
         self._versions = software_versions.SoftwareVersions(
             known_since=known_since
         )
+        self._observed_at = float("-inf")
         self._placements: dict[str, fleet.Placement] = {}
 
     def register(self, registration: fleet.Registration, now: float) -> bool:
@@ -332,6 +337,9 @@
             }
 
     def _observe_versions(self, now: float) -> None:
+        if now - self._observed_at < _OBSERVATION_INTERVAL_S:
+            return
+        self._observed_at = now
         for target in self.by_name.values():
             self._observe_version(target.registration, now)
 
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -204,6 +204,11 @@
                 assert status == 200
                 assert len(first_part + rest) == 6
                 assert len(_versions(first_part + rest)) == 1
+            # A further take-up needs no record of the first gateway.
+            if where == "other":
+                origins = deployment.second_gateway.origins
+                now = asyncio.get_running_loop().time()
+                assert all(origins.find(stream, now) for stream in begun)
 
     asyncio.run(run())
 
