Answer later probes after one relay of probes has failed

The relay was not ended at the stop either.

Change: the relay answers what is pending with an error, forgets its task and raises; the member stops it.

--- a/src/monsoonhinge/control/probes.py
+++ b/src/monsoonhinge/control/probes.py
@@ -46,24 +46,39 @@
             self._task = loop.create_task(self._run())
         return await future
 
+    def stop(self) -> None:
+        """Fails all pending probes."""
+        if self._task is not None:
+            self._task.cancel()
+        _fail(self._waiting, errors.ConnectionLost("stopped", step="probe"))
+
     async def _run(self) -> None:
-        while self._waiting:
-            waiting, self._waiting = self._waiting, []
-            request = messages.RelayProbe(
-                subscribers=list(self._subscribers.values())
+        try:
+            while self._waiting:
+                await self._relay_waiting()
+        finally:
+            self._task = None
+
+    async def _relay_waiting(self) -> None:
+        """Answers all probes that are pending now."""
+        waiting, self._waiting = self._waiting, []
+        request = messages.RelayProbe(
+            subscribers=list(self._subscribers.values())
+        )
+        self._subscribers.clear()
+        try:
+            reply = await self._relay(request)
+        except errors.MonsoonhingeError as error:
+            _fail(waiting, error)
+        except BaseException as error:
+            _fail(
+                waiting, errors.ConnectionLost(f"failed: {error}", step="probe")
             )
-            self._subscribers.clear()
-            try:
-                reply = await self._relay(request)
-            except errors.MonsoonhingeError as error:
-                for future in waiting:
-                    if not future.done():
-                        future.set_exception(error)
-                continue
+            raise
+        else:
             for future in waiting:
                 if not future.done():
                     future.set_result(reply)
-        self._task = None
 
     async def _relay(self, request: messages.RelayProbe) -> messages.Fresh:
         peer = self._transport.peers.get(self._driver.leader)
@@ -72,3 +87,12 @@
         return await peer.request(
             request, messages.Fresh, timeout=_RELAY_TIMEOUT_S
         )
+
+
+def _fail(
+    futures: list[asyncio.Future[messages.Fresh]],
+    error: errors.MonsoonhingeError,
+) -> None:
+    for future in futures:
+        if not future.done():
+            future.set_exception(error)
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -148,6 +148,7 @@
         """Cancels all tasks and closes connections and files."""
         for task in self._tasks:
             task.cancel()
+        self.probe_relay.stop()
         await self.driver.stop()
         await self.transport.stop()
         await self.server.stop()
