--- a/tests/control/test_config_feed.py
+++ b/tests/control/test_config_feed.py
@@ -41,6 +41,8 @@
         self.peer_hello = messages.Hello(node="gateway")
         self.sent: list[messages.Message] = []
         self.largest_bytes = 0
+        self.mirror = mirror.Mirror()
+        self.mirrored = 0
         self._read = asyncio.Event()
 
     def notify(self, message: messages.Message) -> None:
@@ -119,13 +121,14 @@
 
 
 def _mirrored(link: _Link) -> mirror.Mirror:
-    received = mirror.Mirror()
-    for message in link.sent:
+    """Returns what a subscriber has that received all messages so far."""
+    for message in link.sent[link.mirrored :]:
         assert isinstance(
             message, messages.ConfigSnapshot | messages.ConfigDelta
         )
-        received.receive(message)
-    return received
+        link.mirror.receive(message)
+    link.mirrored = len(link.sent)
+    return link.mirror
 
 
 def test_large_change_is_sent_in_bounded_messages() -> None:
