Load models for streams before those that any engine may serve

Cause: requests that one version must serve have few engines, but got what other requests left. And where all engines run one version, the value of a load did not count them.

Change: loads for them come first; at a single version they wait like any other.

Evidence: test_stream_gets_an_engine_of_its_version_before_other_requests fails with the order before and passes now.

--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -1,5 +1,6 @@
 """Demand for models, aggregated over all gateways; performs no I/O."""
 
+from collections.abc import Collection
 import dataclasses
 import math
 
@@ -64,6 +65,19 @@
         """Requests that the model is behind others; 0 if all were served."""
         return self.unserved / (1.0 + self.served)
 
+    def at_versions(self, software_versions: Collection[str]) -> "Need":
+        """Returns the need at engines that run these software versions.
+
+        If they all run the same one, requests that it must serve wait like any
+        other.
+        """
+        if not self.bound or len(software_versions) != 1:
+            return self
+        (version,) = software_versions
+        return dataclasses.replace(
+            self, waiting=self.waiting + self.bound.get(version, 0), bound={}
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Report:
@@ -221,8 +235,8 @@
     if item.software_version:
         version = item.software_version
         need.bound[version] = need.bound.get(version, 0) + item.waiting
-        return
-    need.waiting += item.waiting
+    else:
+        need.waiting += item.waiting
     need.priority = min(need.priority, item.priority)
     need.earliest_latency_deadline = min(
         need.earliest_latency_deadline,
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -40,8 +40,8 @@
     """Plans the swaps to start now, at most one for each engine."""
     planner = _Planner(service, fleet, needs, store, now)
     planner.fill_empty_engines(from_store=False)
-    planner.load_waiting()
     planner.load_for_streams()
+    planner.load_waiting()
     planner.load_uncached()
     planner.fill_empty_engines(from_store=True)
     planner.replicate_busy()
@@ -64,8 +64,9 @@
         self.service = service
         self.fleet = fleet
         self.now = now
+        versions = {item.registration.software_version for item in fleet}
         self.needs = {
-            key.model: need
+            key.model: need.at_versions(versions)
             for key, need in needs.items()
             if key.service == service
         }
@@ -147,7 +148,8 @@
         """Loads models that streams need which go on at one version only.
 
         Their requests wait although the model serves on engines that run other
-        software versions.
+        software versions. They go first, since other models may be loaded on
+        any engine.
         """
         for model, need in self.needs.items():
             for version in need.bound:
--- a/tests/fleet/test_demand.py
+++ b/tests/fleet/test_demand.py
@@ -126,3 +126,7 @@
     found = _found(tracker, 0.0)
     assert found.waiting == 1
     assert found.bound == {"v1": 4}
+    # At engines that all run that version, it waits like any other.
+    assert found.at_versions({"v1"}).waiting == 5
+    assert found.at_versions({"v1", "v2"}).waiting == 1
+    assert found.at_versions({"v2"}).waiting == 1
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -127,6 +127,35 @@
     assert not loads()
 
 
+def test_stream_gets_an_engine_of_its_version_before_other_requests() -> None:
+    """Guards against streams that wait behind what any engine may serve."""
+    fleet = [
+        _engine_of("v2", "t1", models=("m9", "m1", "m2")),
+        _engine_of("v1", "t2", models=("m1", "m2", "m3")),
+        _engine_of("v2", "t3", models=("m1", "m2", "m3")),
+    ]
+    for engine in fleet:
+        engine.on_disk.add("m8")
+    fleet[0].update_usage({("m9", ""): 1, ("m1", ""): 1, ("m2", ""): 1}, _NOW)
+    stream = _need(rate=0.1)
+    stream.bound["v1"] = 1
+    swaps = _plan(fleet, {"m8": _need(waiting=5, rate=0.1), "m9": stream})
+    assert {(swap.target, swap.model) for swap in swaps} == {
+        ("t2", "m9"),
+        ("t3", "m8"),
+    }
+
+
+def test_stream_at_the_only_version_waits_like_any_request() -> None:
+    """Guards against streams whose model nobody reads from the store."""
+    engine = _engine_of("v1", "t1", models=("m1",))
+    engine.on_disk.clear()
+    need = _need(rate=0.5, queue_timeout_s=9.0)
+    need.bound["v1"] = 3
+    (swap,) = _plan([engine], {"m9": need})
+    assert (swap.model, swap.from_store) == ("m9", True)
+
+
 def test_rarely_used_model_does_not_block_an_engine_for_a_store_load() -> None:
     """Guards against occupying an engine for a store load of six seconds.
 
