Share the bounded wait of requests at the start and at a late update

Cause: confirmation.py repeated how startup.py bounds the time for which a request is held.

Change: bounded_wait.py. No behaviour changes.

Evidence: the tests of both, of the configuration's lag and of style pass.

--- a/src/monsoonhinge/ingress/confirmation.py
+++ b/src/monsoonhinge/ingress/confirmation.py
@@ -9,12 +9,12 @@
 import typing
 
 from monsoonhinge.control import config_freshness
+from monsoonhinge.ingress import bounded_wait
 from monsoonhinge.ingress import refusal
 
-# The interval of the probes, so that the reply to the next one is awaited.
-_MAX_WAIT_S = 0.5
-# The rest of the time until the caller's deadline is left to run the request.
-_WAIT_FRACTION = 0.3
+# Probes are sent this often, so that the reply to the next one is awaited. Most
+# of the time until the caller's deadline is left to run the request.
+_WAIT = bounded_wait.BoundedWait(max_wait_s=0.5, fraction=0.3)
 
 
 class Client(typing.Protocol):
@@ -81,15 +81,16 @@
             or self._is_cut_off()
         ):
             raise error
-        wait_s = _MAX_WAIT_S
-        if time_left_ms is not None:
-            wait_s = min(wait_s, _WAIT_FRACTION * time_left_ms / 1000)
-        try:
-            async with asyncio.timeout_at(arrived_at + wait_s):
-                while self._staleness_s() > self.config_deadline_s:
-                    await self._client.wait_for_news()
-        except TimeoutError:
-            raise error from None
+        await _WAIT.hold(
+            self._wait_until_current(),
+            error,
+            time_left_ms=time_left_ms,
+            arrived_at=arrived_at,
+        )
+
+    async def _wait_until_current(self) -> None:
+        while self._staleness_s() > self.config_deadline_s:
+            await self._client.wait_for_news()
 
     def _is_cut_off(self) -> bool:
         return (
--- a/src/monsoonhinge/ingress/startup.py
+++ b/src/monsoonhinge/ingress/startup.py
@@ -7,12 +7,12 @@
 
 import asyncio
 
+from monsoonhinge.ingress import bounded_wait
 from monsoonhinge.ingress import refusal
 
-# Callers of streams disconnect after two seconds without an event.
-_MAX_WAIT_S = 1.75
-# The rest of the time until the caller's deadline is left to run the request.
-_WAIT_FRACTION = 0.7
+# Callers of streams disconnect after two seconds without an event. The rest of
+# the time until the caller's deadline is left to run the request.
+_WAIT = bounded_wait.BoundedWait(max_wait_s=1.75, fraction=0.7)
 
 _CONFIGURATION_REASONS = frozenset(
     {refusal.Reason.NO_CONFIGURATION, refusal.Reason.STALE_CONFIGURATION}
@@ -60,11 +60,9 @@
         """
         if self._opened.is_set() or error.reason not in _CONFIGURATION_REASONS:
             raise error
-        wait_s = _MAX_WAIT_S
-        if time_left_ms is not None:
-            wait_s = min(wait_s, _WAIT_FRACTION * time_left_ms / 1000)
-        try:
-            async with asyncio.timeout_at(arrived_at + wait_s):
-                await self._opened.wait()
-        except TimeoutError:
-            raise error from None
+        await _WAIT.hold(
+            self._opened.wait(),
+            error,
+            time_left_ms=time_left_ms,
+            arrived_at=arrived_at,
+        )
