Call it a resumption where a caller goes on with a stream

Change: resumption.py, stream_resumption, monsoonhinge_ingress_resumptions_total, wait_for_update; names and comments only.

--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -83,7 +83,7 @@
             members=names, rng=rng
         )
         # Set and replaced when the configuration was updated or confirmed.
-        self._news = asyncio.Event()
+        self._updated = asyncio.Event()
         self._watch_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -166,9 +166,9 @@
         """
         return self._subscription.freshness(now + clock.suspended_s())
 
-    async def wait_for_news(self) -> None:
+    async def wait_for_update(self) -> None:
         """Waits until the configuration is updated or a probe is answered."""
-        await self._news.wait()
+        await self._updated.wait()
 
     async def propose(
         self,
@@ -321,7 +321,7 @@
             link.notify(messages.InForce(version=self.view.version))
             if self._listener is not None:
                 self._listener.config_changed(self.view)
-            self._announce_news()
+            self._notify_update()
         return None
 
     def _connected(self) -> list[str]:
@@ -390,8 +390,8 @@
             self._subscription.handle_probe_failure(probe.sent_at)
         else:
             self._subscription.handle_probe_reply(probe.sent_at, reply.version)
-            self._announce_news()
+            self._notify_update()
 
-    def _announce_news(self) -> None:
-        self._news.set()
-        self._news = asyncio.Event()
+    def _notify_update(self) -> None:
+        self._updated.set()
+        self._updated = asyncio.Event()
--- a/src/monsoonhinge/fleet/demand.py
+++ b/src/monsoonhinge/fleet/demand.py
@@ -45,7 +45,7 @@
         served: Recent requests that targets ran, over minutes.
         unserved: Recent requests that ended while they waited for a target.
         bound: Waiting requests by the software version that must serve them.
-            They take up streams, and ``waiting`` does not count them.
+            They resume streams, and ``waiting`` does not count them.
     """
 
     waiting: int = 0
--- a/src/monsoonhinge/fleet/stream_origins.py
+++ b/src/monsoonhinge/fleet/stream_origins.py
@@ -1,7 +1,7 @@
 """Records at a control member of which targets began which streams.
 
 Gateways send them before a caller gets the first event of a stream, so that the
-stream is taken up at the same software version after its gateway is gone.
+stream is resumed at the same software version after its gateway is gone.
 """
 
 import dataclasses
@@ -10,7 +10,7 @@
 from monsoonhinge.targets import software_versions
 
 # Bounds the memory of the records to about 60 MB. Streams whose record was
-# dropped are not taken up.
+# dropped are not resumed.
 MAX_ORIGINS = 200_000
 
 
@@ -65,7 +65,7 @@
         return found
 
     def expire(self, now: float) -> None:
-        """Drops records of streams that can no longer be taken up."""
+        """Drops records of streams that can no longer be resumed."""
         for stream, entry in list(self._entries.items()):
             if now >= entry.expires_at:
                 del self._entries[stream]
--- a/src/monsoonhinge/ingress/confirmation.py
+++ b/src/monsoonhinge/ingress/confirmation.py
@@ -27,7 +27,7 @@
     def freshness(self, now: float) -> config_freshness.Freshness:
         """Returns what is known of the age of the configuration."""
 
-    async def wait_for_news(self) -> None:
+    async def wait_for_update(self) -> None:
         """Waits until the configuration is updated or a probe is answered."""
 
 
@@ -90,7 +90,7 @@
 
     async def _wait_until_current(self) -> None:
         while self._staleness_s() > self.config_deadline_s:
-            await self._client.wait_for_news()
+            await self._client.wait_for_update()
 
     def _is_cut_off(self) -> bool:
         return (
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -6,7 +6,7 @@
 import logging
 
 from monsoonhinge.control import client as control_client
-from monsoonhinge.ingress import take_up
+from monsoonhinge.ingress import resumption
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
@@ -179,7 +179,7 @@
 
     async def find_stream_origin(
         self, request: fleet.FindStreamOrigin
-    ) -> take_up.MemberReplies:
+    ) -> resumption.MemberReplies:
         """Asks all connected members where a stream began.
 
         Returns:
@@ -205,7 +205,9 @@
         finally:
             for task in tasks:
                 task.cancel()
-        return take_up.MemberReplies(replies=replies, members=len(self.peers))
+        return resumption.MemberReplies(
+            replies=replies, members=len(self.peers)
+        )
 
     def send_origins(self, message: fleet.StreamOrigins) -> None:
         """Sends records of streams to all members that read them."""
--- a/src/monsoonhinge/ingress/metrics.py
+++ b/src/monsoonhinge/ingress/metrics.py
@@ -24,9 +24,9 @@
 WAITING_REQUESTS = prometheus_client.Gauge(
     "monsoonhinge_ingress_requests_waiting", "Requests that wait for a target"
 )
-TAKE_UPS = prometheus_client.Counter(
-    "monsoonhinge_ingress_take_ups_total",
-    "Streams that callers take up, by how their origin is known and outcome",
+RESUMPTIONS = prometheus_client.Counter(
+    "monsoonhinge_ingress_resumptions_total",
+    "Streams that callers resume, by how their origin is known and outcome",
     ["source", "outcome"],
 )
 PERMITS = prometheus_client.Counter(
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -22,10 +22,10 @@
 from monsoonhinge.ingress import readiness
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import request_handler
+from monsoonhinge.ingress import resumption
 from monsoonhinge.ingress import retry_budget
 from monsoonhinge.ingress import state_dump
 from monsoonhinge.ingress import stream_origins
-from monsoonhinge.ingress import take_up
 from monsoonhinge.ingress import target_client
 from monsoonhinge.ingress import target_notices
 from monsoonhinge.ingress import target_table
@@ -159,7 +159,7 @@
             client=self.fleet_client,
             admission_control=self.admission,
             token_quota=self.quota,
-            take_ups=take_up.TakeUps(
+            resumptions=resumption.Resumptions(
                 origins=self.origins,
                 targets=self.targets,
                 ask_members=self.fleet_client.find_stream_origin,
--- a/src/monsoonhinge/ingress/request_handler.py
+++ b/src/monsoonhinge/ingress/request_handler.py
@@ -16,8 +16,8 @@
 from monsoonhinge.ingress import refusal
 from monsoonhinge.ingress import relay
 from monsoonhinge.ingress import request_executor
+from monsoonhinge.ingress import resumption
 from monsoonhinge.ingress import startup
-from monsoonhinge.ingress import take_up
 from monsoonhinge.ingress import timeouts
 from monsoonhinge.ingress import token_reservation
 from monsoonhinge.runtime import events
@@ -45,7 +45,7 @@
         client: fleet_client.FleetClient,
         admission_control: admission.Admission,
         token_quota: quota.Quota,
-        take_ups: take_up.TakeUps,
+        resumptions: resumption.Resumptions,
     ) -> None:
         self.context = context
         self.close_connections = False
@@ -62,7 +62,7 @@
         self._client = client
         self._admission = admission_control
         self._quota = token_quota
-        self._take_ups = take_ups
+        self._resumptions = resumptions
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request."""
@@ -103,7 +103,7 @@
                 )
             admitted = await self._admit(parsed, arrived_at)
             if parsed.last_event_id and admitted.route.resumable:
-                admitted = await self._take_ups.bind(
+                admitted = await self._resumptions.bind(
                     parsed, admitted, self._client.view
                 )
             execution = admitted.route.execution
--- a/src/monsoonhinge/ingress/take_up.py
+++ b/src/monsoonhinge/ingress/resumption.py
@@ -1,7 +1,7 @@
-"""Finds where a stream began that a caller takes up again.
+"""Finds where a stream began that a caller resumes.
 
 Load pattern: targets of two software versions serve, connections break or all
-gateways lose power, and callers take up their streams at any gateway. A stream
+gateways lose power, and callers resume their streams at any gateway. A stream
 goes on only where it began. If that is neither recorded nor certain, it is
 refused at once, since two versions cannot continue each other's text.
 """
@@ -71,8 +71,8 @@
         )
 
 
-class TakeUps:
-    """Binds requests that take up a stream to the origin of the stream."""
+class Resumptions:
+    """Binds requests that resume a stream to the origin of the stream."""
 
     def __init__(
         self,
@@ -114,7 +114,7 @@
         origin, source = await self._find(parsed, admitted)
         service = _service(admitted.route, view, origin)
         events.emit(
-            events.TAKE_UP,
+            events.RESUMPTION,
             request_id=parsed.request_id,
             first_request_id=parsed.first_request_id,
             last_event_id=parsed.last_event_id,
@@ -123,13 +123,13 @@
             software_version=origin.software_version if origin else None,
             outcome="bound" if service else "refused",
         )
-        metrics.TAKE_UPS.labels(
+        metrics.RESUMPTIONS.labels(
             source.value, "bound" if service else "refused"
         ).inc()
         if origin is None:
-            raise refusal.Refusal(refusal.Reason.ORIGIN_UNKNOWN, step="take up")
+            raise refusal.Refusal(refusal.Reason.ORIGIN_UNKNOWN, step="resume")
         if service is None:
-            raise refusal.Refusal(refusal.Reason.VERSION_GONE, step="take up")
+            raise refusal.Refusal(refusal.Reason.VERSION_GONE, step="resume")
         return dataclasses.replace(
             admitted, service=service, software_version=origin.software_version
         )
--- a/src/monsoonhinge/ingress/stream_origins.py
+++ b/src/monsoonhinge/ingress/stream_origins.py
@@ -12,7 +12,7 @@
 from monsoonhinge.ingress import target_table
 from monsoonhinge.protocol import fleet
 
-# A stream may be taken up until its caller's deadline, which may be later than
+# A stream may be resumed until its caller's deadline, which may be later than
 # the timeout of the attempt that began it.
 _LIFETIMES = 2.0
 
@@ -46,7 +46,7 @@
 
     Attributes:
         origin: The origin.
-        expires_at: When the stream can no longer be taken up.
+        expires_at: When the stream can no longer be resumed.
         sent: Whether the control members have got the record.
     """
 
@@ -136,7 +136,7 @@
 
 
 def lifetime(timeout_s: float) -> float:
-    """Returns the longest time for which a stream may be taken up.
+    """Returns the longest time for which a stream may be resumed.
 
     Args:
         timeout_s: Timeout of its route, in seconds.
--- a/src/monsoonhinge/ingress/target_acquisition.py
+++ b/src/monsoonhinge/ingress/target_acquisition.py
@@ -94,7 +94,7 @@
         """Binds the rest of a stream to the target that sends its next event.
 
         Further attempts go to targets that run the same software version, and
-        so do those of a caller that takes the stream up.
+        so do those of a caller that resumes the stream.
 
         Raises:
             forward.AnswerLost: The target has restarted as another version
--- a/src/monsoonhinge/protocol/fleet.py
+++ b/src/monsoonhinge/protocol/fleet.py
@@ -130,7 +130,7 @@
         unserved_milli: The same for requests that ended while they waited for
             a target.
         software_version: Version that must serve the waiting requests, which
-            take up streams; "" if any may. Other counts are in the item
+            resume streams; "" if any may. Other counts are in the item
             without a version.
     """
 
@@ -340,7 +340,7 @@
         stream: Id of the request whose response brought its first event.
         service: Service of the target that wrote it.
         software_version: Version of the software of that target.
-        keep_ms: Time for which the stream may be taken up.
+        keep_ms: Time for which the stream may be resumed.
     """
 
     stream: str = ""
--- a/tests/ingress/test_confirmation.py
+++ b/tests/ingress/test_confirmation.py
@@ -15,20 +15,20 @@
     def __init__(self, staleness_s: float) -> None:
         self.watched_member = "c1"
         self.staleness_s = staleness_s
-        self._news = asyncio.Event()
+        self._updated = asyncio.Event()
 
     def freshness(self, now: float) -> config_freshness.Freshness:
         return config_freshness.Freshness(
             version=1, newest_version=1, staleness_s=self.staleness_s
         )
 
-    async def wait_for_news(self) -> None:
-        await self._news.wait()
+    async def wait_for_update(self) -> None:
+        await self._updated.wait()
 
     def set_staleness(self, staleness_s: float) -> None:
         self.staleness_s = staleness_s
-        self._news.set()
-        self._news = asyncio.Event()
+        self._updated.set()
+        self._updated = asyncio.Event()
 
 
 async def _wait(
--- a/tests/ingress/test_take_up.py
+++ b/tests/ingress/test_resumption.py
@@ -1,4 +1,4 @@
-"""Tests of the decision where a stream that is taken up goes on."""
+"""Tests of the decision where a stream that is resumed goes on."""
 
 import asyncio
 import dataclasses
@@ -12,8 +12,8 @@
 from monsoonhinge.ingress import admission
 from monsoonhinge.ingress import dialect
 from monsoonhinge.ingress import refusal
+from monsoonhinge.ingress import resumption
 from monsoonhinge.ingress import stream_origins
-from monsoonhinge.ingress import take_up
 from monsoonhinge.ingress import target_table
 from monsoonhinge.protocol import fleet
 
@@ -63,9 +63,9 @@
 
     async def ask(
         self, request: fleet.FindStreamOrigin
-    ) -> take_up.MemberReplies:
+    ) -> resumption.MemberReplies:
         self.asked += 1
-        return take_up.MemberReplies(replies=self._replies, members=3)
+        return resumption.MemberReplies(replies=self._replies, members=3)
 
     async def bind(self) -> admission.AdmittedRequest:
         route = objects.IngressRoute(
@@ -109,7 +109,7 @@
             headers=multidict.CIMultiDict(),
             first_request_id="r1",
         )
-        return await take_up.TakeUps(
+        return await resumption.Resumptions(
             origins=self.origins, targets=self.targets, ask_members=self.ask
         ).bind(parsed, admitted, view)
 
@@ -210,7 +210,7 @@
 def test_record_is_sent_unless_only_one_version_can_have_begun_a_stream() -> (
     None
 ):
-    """Guards against streams that no other gateway can take up."""
+    """Guards against streams that no other gateway can resume."""
     world = _World()
     origin = stream_origins.StreamOrigin("s", "v1")
 
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -66,7 +66,7 @@
             request_id: Id of the request.
             port: Port of the gateway; the first gateway by default.
             most: Number of events after which the connection is closed.
-            last_event_id: Last event of a stream that is taken up.
+            last_event_id: Last event of a stream that is resumed.
             first_request_id: Request that brought its first event.
         """
         headers = {
@@ -169,10 +169,10 @@
 
 
 @pytest.mark.parametrize("where", ["same", "other", "new"])
-def test_stream_is_taken_up_at_its_version(
+def test_stream_is_resumed_at_its_version(
     where: str, tmp_path: pathlib.Path
 ) -> None:
-    """Guards against a take-up at another version than the first part's.
+    """Guards against a resumption at another version than the first part's.
 
     The gateway that began it may be alive, another one, or gone with all
     others.
@@ -204,7 +204,7 @@
                 assert status == 200
                 assert len(first_part + rest) == 6
                 assert len(_versions(first_part + rest)) == 1
-            # A further take-up needs no record of the first gateway.
+            # A further resumption needs no record of the first gateway.
             if where == "other":
                 origins = deployment.second_gateway.origins
                 now = asyncio.get_running_loop().time()
@@ -214,7 +214,7 @@
 
 
 def test_unknown_stream_is_refused_at_once(tmp_path: pathlib.Path) -> None:
-    """Guards against a take-up at any version if the first one is unknown."""
+    """Guards against a resumption at any version if the first is unknown."""
 
     async def run() -> None:
         deployment = _TwoVersions(tmp_path)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -37,7 +37,7 @@
         gateways: Number of gateways.
         targets: Number of targets of each service.
         callers: Number of callers.
-        stream_callers: Number of callers that take streams up.
+        stream_callers: Number of callers that resume streams.
         planned_only: Whether there are only planned stops and changes, in which
             no request may be cut off.
     """
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -71,7 +71,7 @@
         calls: Calls by request id.
         runs: Runs by request id.
         notes: Troubles, in order.
-        streams: Streams that callers take up when they break off.
+        streams: Streams that callers resume when they break off.
     """
 
     def __init__(self) -> None:
@@ -142,11 +142,11 @@
             f"run {run.ending}" for runs in self.runs.values() for run in runs
         )
         complete = sum(stream.is_complete for stream in self.streams)
-        taken_up = sum(stream.taken_up for stream in self.streams)
+        resumed = sum(stream.resumed for stream in self.streams)
         return dict(sorted((outcomes + endings).items())) | {
             "streams": len(self.streams),
             "complete streams": complete,
-            "take-ups that went on": taken_up,
+            "resumptions": resumed,
         }
 
 
--- a/tests/soak/stream_record.py
+++ b/tests/soak/stream_record.py
@@ -1,4 +1,4 @@
-"""What callers got of streams that they take up, and the checks of it."""
+"""What callers got of streams that they resume, and the checks of it."""
 
 import dataclasses
 import re
@@ -34,7 +34,7 @@
         return len(self.events) == EVENT_COUNT
 
     @property
-    def taken_up(self) -> int:
+    def resumed(self) -> int:
         """Number of requests that took it up and brought further events."""
         return sum(status == 200 for status in list(self.attempts.values())[1:])
 
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -1,4 +1,4 @@
-"""Callers that take broken streams up again."""
+"""Callers that resume broken streams."""
 
 import asyncio
 import itertools
