--- a/src/monsoonhinge/consensus/compaction.py
+++ b/src/monsoonhinge/consensus/compaction.py
@@ -6,6 +6,7 @@
 import typing
 
 from monsoonhinge.consensus import state as raft_state
+from monsoonhinge.runtime import supervision
 
 
 class Capturable(typing.Protocol):
@@ -44,6 +45,7 @@
         )
         self._retained_entries = threshold_entries // 10
         self._task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
 
     def compact_if_due(
         self,
@@ -62,8 +64,9 @@
         new_entries = applied_index - state.log.snapshot.last_index
         if self._task is None and new_entries >= self._threshold_entries:
             encode = self._state_machine.capture()
-            self._task = asyncio.get_running_loop().create_task(
-                self._compact(state, applied_index, encode, on_compacted)
+            self._task = self._supervisor.spawn(
+                "compact",
+                self._compact(state, applied_index, encode, on_compacted),
             )
 
     async def stop(self) -> None:
--- a/src/monsoonhinge/consensus/driver.py
+++ b/src/monsoonhinge/consensus/driver.py
@@ -23,6 +23,7 @@
 from monsoonhinge.consensus import types
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 # Limits how long applying a backlog of entries can delay heartbeats.
 _MAX_APPLY_ENTRIES = 500
@@ -103,6 +104,7 @@
             state_machine, threshold_entries=snapshot_entries, rng=rng
         )
         self._write_task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
         self._tick_timer: asyncio.TimerHandle | None = None
         self._queued: list[proposals.Proposal] = []
         self._appended: dict[int, proposals.Proposal] = {}
@@ -280,7 +282,9 @@
         if self._write_task is None:
             write = self.raft.take_write()
             if write is not None:
-                self._write_task = self._loop.create_task(self._write(write))
+                self._write_task = self._supervisor.spawn(
+                    "write", self._write(write)
+                )
         state = self.raft.state
         metrics.TERM.set(state.term)
         metrics.LEADER.set(self.raft.is_leader)
@@ -313,15 +317,14 @@
     async def _write(self, write: types.Write) -> None:
         try:
             written = await self._writer.write(write)
-        except errors.MonsoonhingeError as error:
-            self._fail(error)
+        except Exception as error:
+            self._fail_step("write", error)
             return
         finally:
             self._write_task = None
-        if not written:
-            return
-        self.raft.complete_write(write, self._loop.time())
-        self._process_output()
+        if written:
+            self.raft.complete_write(write, self._loop.time())
+            self._process_output()
 
     def _apply_committed(self) -> None:
         committed = self.raft.take_committed(_MAX_APPLY_ENTRIES)
@@ -340,14 +343,7 @@
             )
         except Exception as error:
             # Skipping the entry would make this member diverge from the others.
-            index = self.applied_index
-            _LOG.exception("state machine failed after entry %d", index)
-            self._fail(
-                errors.MonsoonhingeError(
-                    f"state machine failed after entry {index}: {error}",
-                    step="apply",
-                )
-            )
+            self._fail_step("apply", error)
             return
         if self.applied_index < self.raft.state.commit_index:
             self._loop.call_soon(self._process_output)
@@ -383,6 +379,13 @@
         for proposal in pending:
             proposal.reject(types.NotLeader(leader=self.leader, step="propose"))
 
+    def _fail_step(self, step: str, error: Exception) -> None:
+        if not isinstance(error, errors.MonsoonhingeError):
+            message = f"{step} failed after entry {self.applied_index}: {error}"
+            _LOG.error(message, exc_info=error)
+            error = errors.MonsoonhingeError(message, step=step)
+        self._fail(error)
+
     def _fail(self, error: errors.MonsoonhingeError) -> None:
         """Stops the member; it sends and acknowledges nothing from now on."""
         if self.failure is not None:
--- a/src/monsoonhinge/consensus/transport.py
+++ b/src/monsoonhinge/consensus/transport.py
@@ -1,6 +1,5 @@
 """Connections between the members of the cluster."""
 
-import asyncio
 import contextlib
 
 from monsoonhinge.consensus import types
@@ -8,6 +7,7 @@
 from monsoonhinge.protocol import endpoint
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 
 def sender_id(message: types.RaftMessage) -> str:
@@ -37,7 +37,7 @@
         self._identity = identity
         self._handler = handler
         self._reply_connections: dict[str, connection.Connection] = {}
-        self._stop_tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
 
     async def stop(self) -> None:
         """Closes the connections to all members."""
@@ -52,9 +52,7 @@
         ):
             return
         if peer is not None:
-            task = asyncio.get_running_loop().create_task(peer.stop())
-            self._stop_tasks.add(task)
-            task.add_done_callback(self._stop_tasks.discard)
+            self._supervisor.spawn("disconnect", peer.stop())
         self.peers[name] = endpoint.Client(
             host=host,
             port=port,
--- a/src/monsoonhinge/control/client.py
+++ b/src/monsoonhinge/control/client.py
@@ -1,7 +1,7 @@
 """Client of the control cluster for gateways, schedulers and operators."""
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 import json
 import logging
 import random
@@ -21,6 +21,7 @@
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import events
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 
 # Time limit of a request to one member; after it the next member is tried.
 ATTEMPT_TIMEOUT_S = 2.0
@@ -84,8 +85,7 @@
         )
         # Set and replaced when the configuration was updated or confirmed.
         self._updated = asyncio.Event()
-        self._watch_task: asyncio.Task[None] | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
 
     def add_member(self, member: settings.Member) -> None:
         """Connects to a member that is not in the settings."""
@@ -108,7 +108,7 @@
         if peer is None or peer.connection is not None:
             return
         del self.peers[name]
-        self._spawn(peer.stop())
+        self._supervisor.spawn("disconnect", peer.stop())
 
     def set_leader(self, name: str) -> None:
         """Sets the known leader, which receives the next requests."""
@@ -133,18 +133,11 @@
         for peer in self.peers.values():
             peer.start()
         if watch:
-            self._watch_task = asyncio.get_running_loop().create_task(
-                self._watch()
-            )
+            self._supervisor.start("watch_configuration", self._watch)
 
     async def stop(self) -> None:
         """Cancels all tasks and closes all connections."""
-        tasks = list(self._tasks)
-        if self._watch_task is not None:
-            tasks.append(self._watch_task)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._supervisor.stop()
         for peer in self.peers.values():
             await peer.stop()
 
@@ -348,16 +341,13 @@
                         if link is not None:
                             link.abort()
                     case subscription.Subscribe(member=member):
-                        self._spawn(self._subscribe(member))
+                        self._supervisor.spawn(
+                            "subscribe", self._subscribe(member)
+                        )
                     case subscription.Probe():
-                        self._spawn(self._probe(action))
+                        self._supervisor.spawn("probe", self._probe(action))
             await asyncio.sleep(_POLL_INTERVAL_S)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _subscribe(self, member: str) -> None:
         version = self.view.version
         try:
--- a/src/monsoonhinge/control/config_feed.py
+++ b/src/monsoonhinge/control/config_feed.py
@@ -21,6 +21,7 @@
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import events
+from monsoonhinge.runtime import supervision
 
 _LOG = logging.getLogger(__name__)
 
@@ -69,6 +70,7 @@
         self._history = config_history.ConfigHistory()
         # Updates to the version in effect.
         self._updates: dict[_UpdateKey, config_updates.SharedParts] = {}
+        self._supervisor = supervision.Supervisor()
 
     def watch(
         self, link: connection.Connection, message: messages.Watch
@@ -136,8 +138,8 @@
             return
         change = self._history.since(watcher.sent)
         if change is None or change.size_bytes > config_updates.PART_BYTES:
-            watcher.task = asyncio.get_running_loop().create_task(
-                self._send_updates(link, watcher)
+            watcher.task = self._supervisor.spawn(
+                "send_configuration", self._send_updates(link, watcher)
             )
             return
         message = config_updates.delta_message(
@@ -153,12 +155,14 @@
         self, link: connection.Connection, watcher: _Watcher
     ) -> None:
         """Sends updates in parts until the watcher lacks nothing."""
-        while watcher.sent < self._state.version:
-            update = self._next_update(watcher)
-            if not await self._send_parts(link, watcher, update):
-                break
-            watcher.sent = update.version
-        watcher.task = None
+        try:
+            while watcher.sent < self._state.version:
+                update = self._next_update(watcher)
+                if not await self._send_parts(link, watcher, update):
+                    break
+                watcher.sent = update.version
+        finally:
+            watcher.task = None
 
     async def _send_parts(
         self,
--- a/src/monsoonhinge/control/leader_tasks.py
+++ b/src/monsoonhinge/control/leader_tasks.py
@@ -1,8 +1,10 @@
 """Periodic tasks of the control leader: expiry, retention and membership."""
 
 import asyncio
+from collections.abc import Coroutine
 import logging
 import time
+from typing import Any
 
 from monsoonhinge.consensus import driver as raft_driver
 from monsoonhinge.control import expiry_timers
@@ -13,6 +15,7 @@
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 
 _INTERVAL_S = 0.1
 
@@ -81,12 +84,25 @@
                 self.leases.reset()
                 self.sessions.reset()
                 self.subscribers.clear()
+            now = asyncio.get_running_loop().time()
+            await self._attempt("expire_leases", self._expire_leases(now))
+            await self._attempt("expire_sessions", self._expire_sessions(now))
+            await self._attempt("drop_calls", self._drop_calls(now))
+            await self._attempt(
+                "update_membership", self._membership.update_membership()
+            )
+
+    async def _attempt(
+        self, name: str, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Carries out one task; its failure does not hold up the others."""
+        with supervision.contain(name):
             try:
-                await self._run_once(asyncio.get_running_loop().time())
+                await work
             except errors.MonsoonhingeError as error:
-                _LOG.info("periodic leader task failed: %s", error)
+                _LOG.info("periodic task %s failed: %s", name, error)
 
-    async def _run_once(self, now: float) -> None:
+    async def _expire_leases(self, now: float) -> None:
         state_machine = self._replicated_state.state_machine
         for name, fencing in self.leases.begin_expiry(
             state_machine.leases, now
@@ -98,15 +114,11 @@
             except errors.MonsoonhingeError:
                 self.leases.cancel_expiry(name, fencing)
                 raise
-        if now >= self._next_session_check_at:
-            self._next_session_check_at = now + _SESSION_INTERVAL_S
-            await self._expire_sessions(now)
-        if now >= self._next_retention_at:
-            self._next_retention_at = now + _RETENTION_INTERVAL_S
-            await self._drop_calls()
-        await self._membership.update_membership()
 
     async def _expire_sessions(self, now: float) -> None:
+        if now < self._next_session_check_at:
+            return
+        self._next_session_check_at = now + _SESSION_INTERVAL_S
         running = {
             call.gateway
             for call in self._replicated_state.state_machine.calls.values()
@@ -121,7 +133,10 @@
         for session in self.sessions.expired(self.subscribers, now):
             del self.subscribers[session]
 
-    async def _drop_calls(self) -> None:
+    async def _drop_calls(self, now: float) -> None:
+        if now < self._next_retention_at:
+            return
+        self._next_retention_at = now + _RETENTION_INTERVAL_S
         before_ms = int((time.time() - self._config.call_retention_s) * 1000)
         if any(
             call.claimed_ms < before_ms
--- a/src/monsoonhinge/control/probes.py
+++ b/src/monsoonhinge/control/probes.py
@@ -7,6 +7,7 @@
 from monsoonhinge.consensus import types
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 _RELAY_TIMEOUT_S = 1.0
 
@@ -29,6 +30,7 @@
         self._subscribers: dict[str, messages.SubscriberState] = {}
         self._waiting: list[asyncio.Future[messages.Fresh]] = []
         self._task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
 
     async def probe(
         self, subscriber: messages.SubscriberState
@@ -43,19 +45,19 @@
         self._subscribers[subscriber.session] = subscriber
         self._waiting.append(future)
         if self._task is None:
-            self._task = loop.create_task(self._run())
+            self._task = self._supervisor.spawn("probe_relay", self._run())
         return await future
 
     def stop(self) -> None:
         """Fails all pending probes."""
-        if self._task is not None:
-            self._task.cancel()
+        self._supervisor.cancel()
         _fail(self._waiting, errors.ConnectionLost("stopped", step="probe"))
 
     async def _run(self) -> None:
         try:
             while self._waiting:
-                await self._relay_waiting()
+                with supervision.contain("probe_relay"):
+                    await self._relay_waiting()
         finally:
             self._task = None
 
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -29,6 +29,7 @@
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 
 # Commands that are validated before they are proposed.
 _VALIDATED_COMMANDS = (
@@ -103,7 +104,7 @@
             driver=self.driver, transport=self.transport
         )
         self.server = endpoint.Server(identity=self.identity, handler=self)
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = supervision.Supervisor()
 
     @classmethod
     def from_config(cls, config: settings.Control) -> "ControlProcess":
@@ -125,12 +126,9 @@
                 port=member.address.port,
             )
         self.driver.start()
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(self.membership.bootstrap()),
-            loop.create_task(self.leader_tasks.run()),
-            loop.create_task(self._exit_on_failure()),
-        ]
+        self.supervisor.start("membership", self.membership.bootstrap)
+        self.supervisor.start("leader_tasks", self.leader_tasks.run)
+        self.supervisor.start("exit_on_failure", self._exit_on_failure)
 
     async def finish(self) -> None:
         """Transfers the leadership if possible and waits for the new leader.
@@ -146,8 +144,7 @@
 
     async def stop(self) -> None:
         """Cancels all tasks and closes connections and files."""
-        for task in self._tasks:
-            task.cancel()
+        self.supervisor.cancel()
         self.probe_relay.stop()
         await self.driver.stop()
         await self.transport.stop()
@@ -166,7 +163,10 @@
             return "failed"
         if self.driver.disk_full:
             return "disk full"
-        return "" if self.driver.leader else "no leader known"
+        if not self.driver.leader:
+            return "no leader known"
+        failing = self.supervisor.failing()
+        return f"tasks fail: {', '.join(failing)}" if failing else ""
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for operators."""
--- a/src/monsoonhinge/control/seeding.py
+++ b/src/monsoonhinge/control/seeding.py
@@ -11,6 +11,7 @@
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 
 _CHECK_INTERVAL_S = 0.2
 _JOIN_TIMEOUT_S = 1.0
@@ -59,18 +60,16 @@
         self._seed_config = config
         self._leader_seen_at = 0.0
         self._leader_since: float | None = None
+        self._supervisor = supervision.Supervisor()
 
     async def bootstrap(self) -> None:
         """Bootstraps a new cluster if necessary and keeps this member in it."""
         if self._seed_config.first_start:
-            bootstrap_task = asyncio.create_task(super().bootstrap())
-        else:
-            bootstrap_task = None
+            self._supervisor.start("bootstrap", super().bootstrap)
         try:
             await self._rejoin_when_needed()
         finally:
-            if bootstrap_task is not None:
-                bootstrap_task.cancel()
+            self._supervisor.cancel()
 
     async def update_membership(self) -> None:
         """Adds voters and replaces lost members; called on the leader."""
--- a/src/monsoonhinge/emulator/orders.py
+++ b/src/monsoonhinge/emulator/orders.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from monsoonhinge.emulator import engine as engines
+from monsoonhinge.runtime import supervision
 
 _MAX_SEEN_IDS = 10_000
 
@@ -22,7 +23,7 @@
 
     def __init__(self, engine: engines.Engine) -> None:
         self.engine = engine
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.supervisor = supervision.Supervisor()
         self._seen_ids: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -43,18 +44,12 @@
             self._seen_ids[order_id] = None
             if len(self._seen_ids) > _MAX_SEEN_IDS:
                 self._seen_ids.popitem(last=False)
-            task = asyncio.get_running_loop().create_task(
-                self._execute(document)
-            )
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.supervisor.spawn("execute_order", self._execute(document))
         return web.Response(status=202)
 
     async def stop(self) -> None:
         """Cancels the orders in progress."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.supervisor.stop()
         await self.engine.weight_store.close()
 
     async def _execute(self, document: dict[str, Any]) -> None:
--- a/src/monsoonhinge/emulator/process.py
+++ b/src/monsoonhinge/emulator/process.py
@@ -13,6 +13,7 @@
 from monsoonhinge.emulator import plainservice
 from monsoonhinge.emulator import target as targets
 from monsoonhinge.emulator import weightstore
+from monsoonhinge.runtime import supervision
 
 # Gateways stop sending work to a target that announces that it leaves well
 # within this time.
@@ -29,7 +30,7 @@
         self.draining = False
         self._order_executor: orders.OrderExecutor | None = None
         self._runner: web.AppRunner | None = None
-        self._announce_task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
 
     @classmethod
     def from_config(cls, config: options.Emulator) -> "EmulatorProcess":
@@ -48,9 +49,7 @@
             self._runner, self.config.listen.host, self.config.listen.port
         ).start()
         if self.target is not None and self.config.gateways:
-            self._announce_task = asyncio.get_running_loop().create_task(
-                self.target.announce_forever()
-            )
+            self._supervisor.start("announce", self.target.announce_forever)
 
     async def finish(self) -> None:
         """Announces the drain and waits for the requests in progress.
@@ -66,8 +65,7 @@
 
     async def stop(self) -> None:
         """Cancels all tasks and closes the server."""
-        if self._announce_task is not None:
-            self._announce_task.cancel()
+        self._supervisor.cancel()
         if self._order_executor is not None:
             await self._order_executor.stop()
         if self._runner is not None:
--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping
+import functools
 from typing import Any
 
 from monsoonhinge.config import ingress
@@ -24,6 +25,7 @@
 from monsoonhinge.fleet import weightstore
 from monsoonhinge.protocol import fleet
 from monsoonhinge.runtime import events
+from monsoonhinge.runtime import supervision
 
 # Delay before another attempt to read the state of an engine.
 _SYNC_RETRY_S = 0.4
@@ -72,7 +74,7 @@
         self._on_lease_lost = on_lease_lost
         self._store_limiter = weightstore.StoreLimiter(window_s=loads_window_s)
         self._channels: dict[str, orders.Channel] = {}
-        self._tasks: dict[str, set[asyncio.Task[None]]] = {}
+        self._tasks: dict[str, supervision.Supervisor] = {}
         self._feed = placement_feed.PlacementFeed(
             fencing=fencing, publish=publish
         )
@@ -92,12 +94,17 @@
     def stop(self) -> None:
         """Cancels all tasks, so that no more orders are sent."""
         for tasks in self._tasks.values():
-            for task in tasks:
-                task.cancel()
+            tasks.cancel()
         self._silent_engines.stop()
 
-    def reconcile(self, view: config_view.View, now: float) -> None:
-        """Updates the engines, then starts the loads that the plan requires."""
+    def reconcile(self, view: config_view.View, now: float) -> bool:
+        """Updates the engines, then starts the loads that the plan requires.
+
+        An exception in the planning of a service does not stop the others.
+
+        Returns:
+            Whether any service could be planned, or there is none.
+        """
         self._sync_engines(view, now)
         running = self.demand_tracker.running_requests()
         unreachable = self.demand_tracker.unreachable_targets()
@@ -105,11 +112,21 @@
             engine.update_usage(running.get(engine.target, {}), now)
             engine.unreachable = engine.target in unreachable
         needs = self.demand_tracker.needs(now)
-        for name, service in view.ingress_services.items():
-            if service.engine is not None:
-                self._plan_service(name, service.engine, needs, now)
-        self._publish_changes(now)
-        self._delay_feed.publish(now)
+        services = {
+            name: service.engine
+            for name, service in view.ingress_services.items()
+            if service.engine is not None
+        }
+        planned = not services
+        for name, limits in services.items():
+            with supervision.contain("plan_service", subject=name):
+                self._plan_service(name, limits, needs, now)
+                planned = True
+        with supervision.contain("publish_placements"):
+            self._publish_changes(now)
+        with supervision.contain("publish_delays"):
+            self._delay_feed.publish(now)
+        return planned
 
     def _plan_service(
         self,
@@ -191,14 +208,7 @@
                 engine.target: engine_dump.dump(engine, now)
                 for engine in self.engines.values()
             },
-            "needs": {
-                key.model: {
-                    "service": key.service,
-                    "waiting": need.waiting,
-                    "rate": round(need.rate, 3),
-                }
-                for key, need in self.demand_tracker.needs(now).items()
-            },
+            "needs": engine_dump.dump_needs(self.demand_tracker.needs(now)),
         }
 
     def _sync_engines(self, view: config_view.View, now: float) -> None:
@@ -260,13 +270,13 @@
             fencing=self.fencing,
             lease_held=self._lease_held,
         )
-        self._spawn(engine.target, self._synchronize_engine(engine))
+        self._start_synchronization(engine)
 
     def _remove_engine(self, target: str, now: float) -> None:
         engine = self.engines.pop(target)
         self._channels.pop(target)
-        for task in self._tasks.pop(target, ()):
-            task.cancel()
+        if target in self._tasks:
+            self._tasks.pop(target).cancel()
         for model in engine.replicas:
             self._store_limiter.record_finish(
                 target, model, loaded=False, now=now
@@ -276,10 +286,15 @@
         self._feed.forget(target)
 
     def _spawn(self, target: str, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.setdefault(target, set()).add(task)
-        task.add_done_callback(
-            lambda done: self._tasks.get(target, set()).discard(done)
+        self._supervisor(target).spawn("engine_order", work)
+
+    def _supervisor(self, target: str) -> supervision.Supervisor:
+        return self._tasks.setdefault(target, supervision.Supervisor())
+
+    def _start_synchronization(self, engine: engines.Engine) -> None:
+        self._supervisor(engine.target).start(
+            "synchronize_engine",
+            functools.partial(self._synchronize_engine, engine),
         )
 
     async def _synchronize_engine(self, engine: engines.Engine) -> None:
@@ -306,7 +321,7 @@
         """Sends no orders to an engine until its state is known again."""
         engine.order_count = None
         engine.unknown_since = asyncio.get_running_loop().time()
-        self._spawn(engine.target, self._synchronize_engine(engine))
+        self._start_synchronization(engine)
 
     def _start_swap(self, swap: placement_plan.Swap, now: float) -> None:
         engine = self.engines[swap.target]
@@ -322,27 +337,15 @@
         need = self.demand_tracker.needs(now).get(
             demand.ModelKey(engine.registration.service, swap.model)
         )
-        events.emit(
-            events.PLACEMENT,
-            target=swap.target,
-            model=swap.model,
-            evict=list(swap.evictions),
-            load_s=round(swap.load_s, 3),
-            from_store=swap.from_store,
-            reason=swap.reason,
-            waiting=need.waiting if need else 0,
-            fencing=self.fencing,
+        placement_report.emit_swap(
+            swap, waiting=need.waiting if need else 0, fencing=self.fencing
         )
         self._spawn(swap.target, self._run_swap(engine, swap))
 
     def _retire(self, target: str, model: str, now: float) -> None:
         self.engines[target].retire(model, now)
-        events.emit(
-            events.PLACEMENT,
-            target=target,
-            model=model,
-            reason="retired",
-            fencing=self.fencing,
+        placement_report.emit_change(
+            target, model, reason="retired", fencing=self.fencing
         )
 
     async def _run_swap(
@@ -376,12 +379,8 @@
         """Reads the state of an engine again after it refused an order."""
         engine.retry_at = now + _REFUSAL_BACKOFF_S
         self._resynchronize_engine(engine)
-        events.emit(
-            events.PLACEMENT,
-            target=swap.target,
-            model=swap.model,
-            reason="refused",
-            fencing=self.fencing,
+        placement_report.emit_change(
+            swap.target, swap.model, reason="refused", fencing=self.fencing
         )
 
     def _publish_current(self) -> None:
--- a/src/monsoonhinge/fleet/engine_dump.py
+++ b/src/monsoonhinge/fleet/engine_dump.py
@@ -1,7 +1,9 @@
 """State of an engine as operators see it in the state dump."""
 
+from collections.abc import Mapping
 from typing import Any
 
+from monsoonhinge.fleet import demand
 from monsoonhinge.fleet import engine as engines
 
 
@@ -26,3 +28,15 @@
         "unreachable": engine.unreachable,
         "retry_in_s": round(max(0.0, engine.retry_at - now), 3),
     }
+
+
+def dump_needs(needs: Mapping[demand.ModelKey, demand.Need]) -> dict[str, Any]:
+    """Returns the demand by model."""
+    return {
+        key.model: {
+            "service": key.service,
+            "waiting": need.waiting,
+            "rate": round(need.rate, 3),
+        }
+        for key, need in needs.items()
+    }
--- a/src/monsoonhinge/fleet/placement_report.py
+++ b/src/monsoonhinge/fleet/placement_report.py
@@ -125,3 +125,29 @@
     if engine.unreachable:
         return "unreachable"
     return "free" if now >= engine.retry_at else "backing_off"
+
+
+def emit_swap(swap: placement_plan.Swap, *, waiting: int, fencing: int) -> None:
+    """Emits the event line of a swap that starts."""
+    events.emit(
+        events.PLACEMENT,
+        target=swap.target,
+        model=swap.model,
+        evict=list(swap.evictions),
+        load_s=round(swap.load_s, 3),
+        from_store=swap.from_store,
+        reason=swap.reason,
+        waiting=waiting,
+        fencing=fencing,
+    )
+
+
+def emit_change(target: str, model: str, *, reason: str, fencing: int) -> None:
+    """Emits the event line of a placement that changes without an order."""
+    events.emit(
+        events.PLACEMENT,
+        target=target,
+        model=model,
+        reason=reason,
+        fencing=fencing,
+    )
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -1,7 +1,7 @@
 """A control member that also registers targets and places models."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable
 import contextlib
 from typing import Any
 
@@ -18,6 +18,7 @@
 from monsoonhinge.fleet import feed
 from monsoonhinge.fleet import leasing
 from monsoonhinge.fleet import permits
+from monsoonhinge.fleet import planning
 from monsoonhinge.fleet import quarantines
 from monsoonhinge.fleet import registrar
 from monsoonhinge.fleet import registry as target_registry
@@ -29,11 +30,10 @@
 from monsoonhinge.runtime import events
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 from monsoonhinge.scheduler import budget_server
 
 LEASE_NAME = "fleet"
-_MAX_PLANNING_INTERVAL_S = 0.1
-_BATCH_DELAY_S = 0.005
 _MAINTENANCE_INTERVAL_S = 0.25
 # Missed announcements after which a target is marked as silent.
 _MAX_MISSED_ANNOUNCEMENTS = 3.0
@@ -70,7 +70,7 @@
             registry=self.registry,
             feed=self.feed,
             members=lambda: self.transport.peers.values(),
-            on_change=lambda: self._plan_requested.set(),
+            on_change=lambda: self._planning.request(),
         )
         self.quarantines = quarantines.QuarantinePublisher(
             broadcast=self.feed.broadcast
@@ -105,7 +105,7 @@
         self.controller: controller.PlacementController | None = None
         client.on_leaving = self.registrar.record_leaving
         self._engine_client = client
-        self._plan_requested = asyncio.Event()
+        self._planning = planning.PlanningLoop(plan=self._plan)
         self._announced_leases = fleet.FleetActive(keeps_stream_origins=True)
         self._leader = ""
         self._leader_seen_at = 0.0
@@ -115,13 +115,19 @@
         """Joins the cluster and starts the lease and planning loops."""
         await super().start()
         self.control.start()
+        lease_loop = self._lease_loop(
+            self.lease,
+            self.lease.acquire_or_renew,
+            works=self._planning.gets_on,
+        )
+        budget_loop = self._lease_loop(
+            self.budgets.lease, self.budgets.acquire_or_renew
+        )
         self._fleet_tasks = [
-            self._run_lease_loop(self.lease, self.lease.acquire_or_renew),
-            self._run_lease_loop(
-                self.budgets.lease, self.budgets.acquire_or_renew
-            ),
-            self._spawn(self._plan_periodically()),
-            self._spawn(self._maintain_registry()),
+            self.supervisor.start("fleet_lease", lease_loop.run),
+            self.supervisor.start("budget_lease", budget_loop.run),
+            self.supervisor.start("planning", self._planning.run),
+            self.supervisor.start("registry", self._maintain_registry),
         ]
 
     async def finish(self) -> None:
@@ -172,7 +178,7 @@
         """Applies a new configuration and requests a plan."""
         self.registrar.configure(view.ingress_services)
         self.budgets.configure(view)
-        self._plan_requested.set()
+        self._planning.request()
 
     def connected(self, link: connection.Connection) -> None:
         """Sends all registrations to a member that has connected."""
@@ -210,7 +216,7 @@
                 return None
             case fleet.FleetDemand():
                 self.demand_tracker.update(message, now)
-                self._plan_requested.set()
+                self._planning.request()
                 return None
             case fleet.RateLimits():
                 self.permits.record(message, now)
@@ -273,20 +279,20 @@
     def _member_names(self) -> list[str]:
         return [member.name for member in self.driver.configuration.members]
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        return asyncio.get_running_loop().create_task(work)
-
-    def _run_lease_loop(
-        self, lease: lease_client.LeaseClient, attempt: leasing.AcquireOrRenew
-    ) -> asyncio.Task[None]:
-        lease_loop = leasing.LeaseLoop(
+    def _lease_loop(
+        self,
+        lease: lease_client.LeaseClient,
+        attempt: leasing.AcquireOrRenew,
+        works: Callable[[], bool] = lambda: True,
+    ) -> leasing.LeaseLoop:
+        return leasing.LeaseLoop(
             lease=lease,
             acquire_or_renew=attempt,
             driver=self.driver,
             replicated_state=self.replicated_state,
             on_attempt=self._apply_lease_state,
+            works=works,
         )
-        return self._spawn(lease_loop.run())
 
     def _apply_lease_state(self) -> None:
         fencing = self.lease.fencing
@@ -336,40 +342,38 @@
             self.controller = None
             self._announce_leases()
 
-    async def _plan_periodically(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_MAX_PLANNING_INTERVAL_S):
-                    await self._plan_requested.wait()
-                    await asyncio.sleep(_BATCH_DELAY_S)
-            self._plan_requested.clear()
-            now = loop.time()
-            if self.controller is not None and self.lease.held(now):
-                self.demand_tracker.expire(now)
-                self.controller.reconcile(self.control.view, now)
+    def _plan(self, now: float) -> bool:
+        if self.controller is None or not self.lease.held(now):
+            return True
+        self.demand_tracker.expire(now)
+        return self.controller.reconcile(self.control.view, now)
 
     async def _maintain_registry(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
-            now = loop.time()
-            self.registrar.expire()
-            self.stream_origins.expire(now)
-            leader = self.driver.leader
-            if leader:
-                self._leader_seen_at = now
-            if leader != self._leader:
-                self.control.set_leader(leader)
-                events.emit(
-                    events.LEADER,
-                    leader=leader,
-                    term=self.driver.raft.state.term,
-                    index=self.driver.applied_index,
-                )
-                self._leader = leader
+            with supervision.contain("expire_registrations"):
+                self.registrar.expire()
+            with supervision.contain("expire_stream_origins"):
+                self.stream_origins.expire(loop.time())
+            self._follow_leader(loop.time())
             self._connect_members()
 
+    def _follow_leader(self, now: float) -> None:
+        leader = self.driver.leader
+        if leader:
+            self._leader_seen_at = now
+        if leader == self._leader:
+            return
+        self.control.set_leader(leader)
+        events.emit(
+            events.LEADER,
+            leader=leader,
+            term=self.driver.raft.state.term,
+            index=self.driver.applied_index,
+        )
+        self._leader = leader
+
     def _connect_members(self) -> None:
         members: tuple[types.Member, ...] = self.driver.configuration.members
         for member in members:
--- a/src/monsoonhinge/fleet/silent_engines.py
+++ b/src/monsoonhinge/fleet/silent_engines.py
@@ -9,6 +9,8 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 
+from monsoonhinge.runtime import supervision
+
 # Interval between checks of a silent engine.
 _CHECK_INTERVAL_S = 0.5
 
@@ -41,6 +43,7 @@
         """
         self._replies = replies
         self._checks: dict[str, _Check] = {}
+        self._supervisor = supervision.Supervisor()
 
     def is_kept(self, target: str, incarnation: int, now: float) -> bool:
         """Returns whether a silent engine is kept, and checks it when due."""
@@ -53,8 +56,8 @@
             return False
         if check.task is None and now >= check.next_at:
             check.next_at = now + _CHECK_INTERVAL_S
-            check.task = asyncio.get_running_loop().create_task(
-                self._run(target, check)
+            check.task = self._supervisor.spawn(
+                "check_silent_engine", self._run(target, check)
             )
         return True
 
@@ -75,5 +78,8 @@
             self.forget(target)
 
     async def _run(self, target: str, check: _Check) -> None:
-        check.replied = await self._replies(target)
+        replied = False
+        with supervision.contain("check_silent_engine", subject=target):
+            replied = await self._replies(target)
+        check.replied = replied
         check.task = None
--- a/src/monsoonhinge/gateway/calls.py
+++ b/src/monsoonhinge/gateway/calls.py
@@ -1,11 +1,9 @@
 """Calls that run at most once, by claims in the control log."""
 
 import asyncio
-from collections.abc import Coroutine
 import hashlib
 import json
 import logging
-from typing import Any
 import uuid
 
 import multidict
@@ -16,6 +14,7 @@
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 _AWAIT_POLL_S = 2.0
 _RECORD_TIMEOUT_S = 5.0
@@ -121,17 +120,15 @@
     def __init__(self, *, control: control_client.Client, gateway: str) -> None:
         self.control = control
         self.gateway = gateway
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
 
     async def stop(self) -> None:
         """Cancels the recording of outcomes that are not yet recorded."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.stop()
 
     async def wait_recorded(self) -> None:
         """Waits until all outcomes are recorded."""
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.wait()
 
     async def claim(
         self, claim: Claim, *, deadline: float
@@ -153,7 +150,9 @@
             try:
                 result = await self._propose_claim(claim, remaining_s)
             except errors.MonsoonhingeError as error:
-                self._spawn(self._retract_claim(claim))
+                self._supervisor.spawn(
+                    "retract_claim", self._retract_claim(claim)
+                )
                 raise refusal.Refusal(
                     "the call could not be claimed; repeat it with the same "
                     "key",
@@ -179,12 +178,17 @@
 
     async def record(self, command: commands.FinishCall) -> None:
         """Records an outcome; after 5 s this continues in the background."""
-        task = self._spawn(self._record_outcome(command))
+        task = self._supervisor.spawn(
+            "record_outcome", self._record_outcome(command)
+        )
         await asyncio.wait({task}, timeout=_RECORD_TIMEOUT_S)
 
     def release(self, claim: Claim) -> None:
         """Releases a claim in the background; no byte of the call was sent."""
-        self._spawn(self._record_outcome(claim.outcome_command("released")))
+        self._supervisor.spawn(
+            "record_outcome",
+            self._record_outcome(claim.outcome_command("released")),
+        )
 
     async def _propose_claim(
         self, claim: Claim, timeout: float
@@ -253,12 +257,6 @@
                 _LOG.warning("recording a call outcome failed: %s", error)
                 await asyncio.sleep(_RETRY_DELAY_S)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 async def read_response(response: forward.TargetResponse) -> RecordedResponse:
     """Reads the whole response of a call.
--- a/src/monsoonhinge/gateway/demand.py
+++ b/src/monsoonhinge/gateway/demand.py
@@ -6,6 +6,7 @@
 
 from monsoonhinge.gateway import dispatch
 from monsoonhinge.protocol import messages
+from monsoonhinge.runtime import supervision
 
 COALESCE_S = 0.05
 FULL_INTERVAL_S = 1.0
@@ -39,20 +40,18 @@
         self._requested_at: dict[str, float] = {}
         self._reported: dict[str, set[str]] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
 
     def start(self) -> None:
         """Starts reporting."""
         self._dispatcher.on_demand_changed = self.demand_changed
-        self._task = asyncio.get_running_loop().create_task(self._report())
+        self._supervisor.start("report_demand", self._report)
 
     async def stop(self) -> None:
         """Stops reporting."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._supervisor.stop()
 
     def demand_changed(self, resource: str) -> None:
         """Schedules a report of a resource's demand within ``COALESCE_S``.
--- a/src/monsoonhinge/gateway/grants.py
+++ b/src/monsoonhinge/gateway/grants.py
@@ -9,6 +9,7 @@
 from monsoonhinge.gateway import wait_refusals
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 _TICK_S = 0.1
 _REQUEST_TIMEOUT_S = 0.5
@@ -44,24 +45,16 @@
         # Start of the first of the consecutive requests without an answer. A
         # time without requests tells nothing about the lease holder.
         self._unanswered_since: float | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._maintenance_task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
 
     def start(self) -> None:
         """Starts requesting grants."""
-        loop = asyncio.get_running_loop()
         self.dispatcher.on_tokens_needed = self.request_refill
-        self._maintenance_task = loop.create_task(self._maintain_accounts())
+        self._supervisor.start("maintain_accounts", self._maintain_accounts)
 
     async def stop(self) -> None:
         """Cancels all pending requests for grants."""
-        tasks = [
-            *self._tasks,
-            *([self._maintenance_task] if self._maintenance_task else []),
-        ]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._supervisor.stop()
 
     async def return_all(self) -> None:
         """Returns all unused tokens to the lease holder; called at shutdown."""
@@ -88,11 +81,10 @@
             first=queue.min_blocked_tokens(team),
         )
         if refill is not None:
-            task = asyncio.get_running_loop().create_task(
-                self._send_refill_request(team, account, refill)
+            self._supervisor.spawn(
+                "request_tokens",
+                self._send_refill_request(team, account, refill),
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
 
     async def _maintain_accounts(self) -> None:
         loop = asyncio.get_running_loop()
@@ -136,13 +128,15 @@
                 messages.Grant,
                 timeout=_REQUEST_TIMEOUT_S,
             )
-        except errors.MonsoonhingeError as error:
+        except Exception as error:
             _LOG.debug(
                 "token grant request failed: %s", error, extra={"team": team}
             )
             account.fail_refill(loop.time(), _RETRY_DELAY_S)
             if self._unanswered_since is None:
                 self._unanswered_since = requested_at
+            if not isinstance(error, errors.MonsoonhingeError):
+                raise
             return
         self._unanswered_since = None
         account.complete_refill(
--- a/src/monsoonhinge/gateway/process.py
+++ b/src/monsoonhinge/gateway/process.py
@@ -31,6 +31,7 @@
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 
 _TICK_S = 0.1
 # Time for load balancers to notice that the gateway is not ready.
@@ -113,7 +114,7 @@
         self._model_handler: models.ModelHandler | None = None
         self._service_handler: services.ServiceHandler | None = None
         self._runners: list[web.AppRunner] = []
-        self._task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
 
     @classmethod
     def from_config(cls, config: settings.Gateway) -> "GatewayProcess":
@@ -147,9 +148,7 @@
         self.demand.start()
         if self.grants is not None:
             self.grants.start()
-        self._task = asyncio.get_running_loop().create_task(
-            self._run_periodic_tasks()
-        )
+        self._supervisor.start("periodic_tasks", self._run_periodic_tasks)
         await self._listen(
             announcements.application(self._on_announcement),
             self.config.targets,
@@ -174,8 +173,7 @@
 
     async def stop(self) -> None:
         """Closes all connections and cancels all tasks."""
-        if self._task is not None:
-            self._task.cancel()
+        self._supervisor.cancel()
         for runner in self._runners:
             await runner.cleanup()
         if self.grants is not None:
--- a/src/monsoonhinge/ingress/crash_reports.py
+++ b/src/monsoonhinge/ingress/crash_reports.py
@@ -13,6 +13,7 @@
 from monsoonhinge.ingress import target_table
 from monsoonhinge.protocol import fleet
 from monsoonhinge.runtime import events
+from monsoonhinge.runtime import supervision
 
 # A crash within this time after the first event of an answer may still be due
 # to the prompt; after it, the target has proved that it can answer.
@@ -58,7 +59,7 @@
         self._suspects: dict[str, set[str]] = {}
         self._reported_at: dict[str, float] = {}
         self._broken_targets: dict[_Incarnation, _BrokenTarget] = {}
-        self._checks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
 
     def record_served(self, parts: list[str], now: float) -> None:
         """Records that a target answered a prompt completely."""
@@ -114,15 +115,12 @@
         if broken is None:
             broken = _BrokenTarget(address=target.registration.address)
             self._broken_targets[key] = broken
-            check = asyncio.get_running_loop().create_task(self._check(key))
-            self._checks.add(check)
-            check.add_done_callback(self._checks.discard)
+            self._supervisor.spawn("check_broken_target", self._check(key))
         broken.prompts.add(tuple(parts))
 
     def stop(self) -> None:
         """Cancels all checks."""
-        for check in self._checks:
-            check.cancel()
+        self._supervisor.cancel()
 
     async def _check(self, key: _Incarnation) -> None:
         await asyncio.sleep(_BATCH_DELAY_S)
--- a/src/monsoonhinge/ingress/fleet_client.py
+++ b/src/monsoonhinge/ingress/fleet_client.py
@@ -73,7 +73,6 @@
         self._subscribed_members: set[connection.Connection] = set()
         self._active: dict[connection.Connection, fleet.FleetActive] = {}
         self._demand_timer: asyncio.TimerHandle | None = None
-        self._subscribe_tasks: set[asyncio.Task[None]] = set()
 
     def connected(self, link: connection.Connection) -> None:
         """Subscribes to the updates of a member."""
@@ -293,11 +292,10 @@
         )
         if with_registrations:
             self._subscribed_members.add(link)
-        task = asyncio.get_running_loop().create_task(
-            self._send_subscription(link, with_registrations)
+        self._supervisor.spawn(
+            "subscribe_registrations",
+            self._send_subscription(link, with_registrations),
         )
-        self._subscribe_tasks.add(task)
-        task.add_done_callback(self._subscribe_tasks.discard)
 
     async def _send_subscription(
         self, link: connection.Connection, with_registrations: bool
@@ -311,3 +309,14 @@
         except errors.MonsoonhingeError as error:
             _LOG.warning("cannot subscribe to the registrations: %s", error)
             link.abort()
+
+
+def seed_members(config: settings.Ingress) -> list[settings.Member]:
+    """Returns the control members that the settings name."""
+    return [
+        settings.Member(
+            name=seed.host,
+            address=settings.Address(host=seed.host, port=config.control_port),
+        )
+        for seed in config.seeds
+    ]
--- a/src/monsoonhinge/ingress/process.py
+++ b/src/monsoonhinge/ingress/process.py
@@ -34,6 +34,7 @@
 from monsoonhinge.runtime import events
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 
 _TICK_S = 0.1
 
@@ -74,7 +75,7 @@
         self.model_delays = model_delays.ModelDelays()
         self.quarantine = prompt_quarantine.PromptQuarantine()
         self.fleet_client = fleet_client.FleetClient(
-            members=_members(config),
+            members=fleet_client.seed_members(config),
             identity=self.identity,
             listener=self,
             on_registrations=self._on_registrations,
@@ -124,7 +125,7 @@
         self._target_client: target_client.TargetClient | None = None
         self._crash_reporter: crash_reports.CrashReporter | None = None
         self._listeners = listeners.HttpListeners()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.Supervisor()
 
     async def start(self) -> None:
         """Starts the listeners and connects to the control members."""
@@ -168,10 +169,8 @@
         self.fleet_client.start()
         await self._listeners.listen(self.handler.handle, self.config.callers)
         await self._listeners.listen(self._readiness, self.config.readiness)
-        self._tasks = [
-            loop.create_task(self._run_periodic_tasks()),
-            loop.create_task(self.fleet_client.repeat_demand()),
-        ]
+        self._supervisor.start("periodic_tasks", self._run_periodic_tasks)
+        self._supervisor.start("demand", self.fleet_client.repeat_demand)
 
     def drain(self) -> None:
         """Begins a graceful stop: reports not ready and closes connections."""
@@ -198,7 +197,7 @@
 
     def reload(self, config: settings.Ingress) -> None:
         """Applies changed seeds; other changed settings need a restart."""
-        for member in _members(config):
+        for member in fleet_client.seed_members(config):
             self.fleet_client.add_member(member)
 
     async def stop(self) -> None:
@@ -210,8 +209,7 @@
         if self.draining:
             await self._listeners.stop_accepting()
             await asyncio.sleep(_LAST_REQUESTS_S)
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel()
         await self._listeners.close()
         if self._crash_reporter is not None:
             self._crash_reporter.stop()
@@ -378,23 +376,15 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_TICK_S)
-            self.quota.maintain_accounts()
-            self._dispatch_waiting()
-            if self._is_cut_off():
-                self._refuse_hopeless()
+            with supervision.contain("maintain_accounts"):
+                self.quota.maintain_accounts()
+            with supervision.contain("dispatch"):
+                self._dispatch_waiting()
+            with supervision.contain("refuse_hopeless"):
+                if self._is_cut_off():
+                    self._refuse_hopeless()
             self._open_startup_gate()
             metrics.WAITING_REQUESTS.set(self.wait_queue.count())
             metrics.CONFIG_STALENESS_SECONDS.set(
                 self.fleet_client.staleness(loop.time())
             )
-
-
-def _members(config: settings.Ingress) -> list[settings.Member]:
-    """Returns the control members that the settings name."""
-    return [
-        settings.Member(
-            name=seed.host,
-            address=settings.Address(host=seed.host, port=config.control_port),
-        )
-        for seed in config.seeds
-    ]
--- a/src/monsoonhinge/ingress/quota.py
+++ b/src/monsoonhinge/ingress/quota.py
@@ -13,6 +13,7 @@
 from monsoonhinge.gateway import token_accounts
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 # Maximum time that a request waits for tokens before it is refused.
 MAX_TOKEN_WAIT_S = 0.4
@@ -96,7 +97,7 @@
         self._fallback_buckets: dict[str, FallbackBucket] = {}
         self._refused_tokens: dict[str, RefusedTokens] = {}
         self._unanswered_since: float | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
 
     async def charge(
         self,
@@ -188,9 +189,7 @@
 
     async def stop(self) -> None:
         """Cancels all pending grant requests."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.stop()
 
     def _take_fallback(
         self, team: schema.Team, tokens: int, now: float
@@ -218,11 +217,9 @@
         )
         if refill is None:
             return
-        task = asyncio.get_running_loop().create_task(
-            self._send_refill_request(team, refill)
+        self._supervisor.spawn(
+            "request_tokens", self._send_refill_request(team, refill)
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
 
     async def _send_refill_request(
         self, team: str, refill: token_accounts.RefillRequest
@@ -241,10 +238,12 @@
                     returned_grant=refill.returned_grant,
                 )
             )
-        except errors.MonsoonhingeError:
+        except Exception as error:
             account.fail_refill(loop.time(), _RETRY_DELAY_S)
             if self._unanswered_since is None:
                 self._unanswered_since = requested_at
+            if not isinstance(error, errors.MonsoonhingeError):
+                raise
             return
         self._unanswered_since = None
         self._fallback_buckets.clear()
--- a/src/monsoonhinge/protocol/endpoint.py
+++ b/src/monsoonhinge/protocol/endpoint.py
@@ -8,6 +8,7 @@
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 
 _RECONNECT_MIN_S = 0.05
 _RECONNECT_MAX_S = 0.4
@@ -91,6 +92,7 @@
         self._handler = handler
         self._rng = rng or random.Random()
         self._task: asyncio.Task[None] | None = None
+        self._supervisor = supervision.Supervisor()
         self._disconnected = asyncio.Event()
 
     @property
@@ -101,7 +103,7 @@
     def start(self) -> None:
         """Starts connecting in the background."""
         if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+            self._task = self._supervisor.start("connect", self._run)
 
     async def stop(self) -> None:
         """Closes the connection and stops reconnecting."""
--- a/src/monsoonhinge/scheduler/active.py
+++ b/src/monsoonhinge/scheduler/active.py
@@ -1,6 +1,5 @@
 """Runs the coordinator while this process holds the ``scheduler`` lease."""
 
-import asyncio
 from collections.abc import Callable
 import logging
 import time
@@ -12,6 +11,7 @@
 from monsoonhinge.protocol import commands
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import supervision
 from monsoonhinge.scheduler import coordinator
 from monsoonhinge.scheduler import demand
 from monsoonhinge.scheduler import directory as target_directory
@@ -58,7 +58,7 @@
         self._order_client = order_client
         self._order_timeout_s = order_timeout_s
         self._now = now
-        self._send_tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
 
     async def acquire_or_renew(self) -> None:
         """Acquires or renews the lease and takes over after a new grant."""
@@ -113,14 +113,12 @@
     async def release(self) -> None:
         """Waits for orders that are being sent, then releases the lease."""
         self.core = None
-        if self._send_tasks:
-            await asyncio.wait(self._send_tasks)
+        await self._supervisor.wait()
         await self.lease.release()
 
     def cancel(self) -> None:
         """Aborts the orders that are being sent."""
-        for task in self._send_tasks:
-            task.cancel()
+        self._supervisor.cancel()
 
     async def _take_over(self, fencing: int) -> None:
         decisions = await self._control.read(
@@ -193,11 +191,9 @@
         ):
             address = self._directory.entries[pending.target].state.address
             core.orders.mark_sent(pending.order.order_id, self._now())
-            task = asyncio.get_running_loop().create_task(
-                self._send(core, pending, address)
+            self._supervisor.spawn(
+                "send_order", self._send(core, pending, address)
             )
-            self._send_tasks.add(task)
-            task.add_done_callback(self._send_tasks.discard)
 
     async def _send(
         self,
--- a/src/monsoonhinge/scheduler/process.py
+++ b/src/monsoonhinge/scheduler/process.py
@@ -1,8 +1,8 @@
 """Scheduler process: leases, planning loop and connections of gateways."""
 
 import asyncio
-from collections.abc import Coroutine
 import dataclasses
+import functools
 import logging
 from typing import Any
 
@@ -14,6 +14,7 @@
 from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
+from monsoonhinge.runtime import supervision
 from monsoonhinge.scheduler import active
 from monsoonhinge.scheduler import budget_server
 from monsoonhinge.scheduler import demand
@@ -67,7 +68,7 @@
         self._applied_config_version = 0
         self._plan_requested = asyncio.Event()
         self._sent_verdicts: dict[str, tuple[messages.Verdict, float]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervision.Supervisor()
         self._decision_tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -97,10 +98,17 @@
         )
         self.control.start()
         self._decision_tasks = [
-            self._spawn(self._run_leases(self.active)),
-            self._spawn(self._plan_periodically(self.active)),
+            self._supervisor.start(
+                "leases", functools.partial(self._run_leases, self.active)
+            ),
+            self._supervisor.start(
+                "planning",
+                functools.partial(self._plan_periodically, self.active),
+            ),
         ]
-        self._spawn(self._run_maintenance(self.active))
+        self._supervisor.start(
+            "maintenance", functools.partial(self._run_maintenance, self.active)
+        )
 
     async def finish(self) -> None:
         """Releases the leases so that a standby can take over."""
@@ -112,8 +120,7 @@
 
     async def stop(self) -> None:
         """Cancels all tasks and closes all connections."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._supervisor.cancel()
         if self.active is not None:
             self.active.cancel()
         await self.server.stop()
@@ -201,12 +208,6 @@
     def _lease_holder(self) -> str:
         return f"{self.identity.node}/{self.identity.incarnation}"
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _handle_announcements(
         self, message: messages.Announcements, now: float
     ) -> None:
--- a/tests/ingress/test_quota.py
+++ b/tests/ingress/test_quota.py
@@ -183,3 +183,32 @@
         return silences
 
     assert asyncio.run(run()) == (0.0, pytest.approx(0.25, abs=0.15))
+
+
+def test_team_is_starved_after_a_request_for_tokens_that_raises() -> None:
+    """Guards against a request that stays pending, so that none follows."""
+    sent = 0
+
+    async def send(request: messages.GrantRequest) -> messages.Grant:
+        nonlocal sent
+        sent += 1
+        if sent == 1:
+            raise OverflowError("not a number")
+        return messages.Grant(
+            team=TEAM.name, tokens=1_000, valid_ms=5_000, grant_id=sent
+        )
+
+    async def run() -> object:
+        gateway = quota.Quota(gateway="g", send=send)
+        charging = asyncio.create_task(
+            gateway.charge(TEAM, 100, time_left_s=8.0)
+        )
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            gateway.maintain_accounts()
+        charge = await asyncio.wait_for(charging, 1.0)
+        await gateway.stop()
+        return charge
+
+    assert asyncio.run(run()) is not None
+    assert sent > 1
--- /dev/null
+++ b/tests/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what all processes share."""
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -40,3 +40,28 @@
     """Guards against modules with several responsibilities."""
     if path.name not in _LENGTH_EXEMPT:
         assert len(path.read_text().splitlines()) <= _MAX_LINES
+
+
+# In these modules a caller awaits each task, or the task handles all errors.
+_TASK_MODULES = {
+    "runtime/supervision.py",
+    "gateway/services.py",
+    "protocol/connection.py",
+    "fleet/config_documents.py",
+    "ingress/fleet_client.py",
+}
+
+
+@pytest.mark.parametrize(
+    "path", _SOURCE_FILES, ids=lambda path: str(path.relative_to(_ROOT))
+)
+def test_tasks_are_supervised(path: pathlib.Path) -> None:
+    """Guards against tasks that end with an exception that nobody sees."""
+    name = path.relative_to(_ROOT / "src" / "monsoonhinge").as_posix()
+    if name in _TASK_MODULES or name.startswith("bench/"):
+        return
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Attribute):
+            assert node.attr not in ("create_task", "ensure_future"), (
+                f"line {node.lineno}"
+            )
