Plan nothing for models that no engine may load

Cause: without an engine, the shortest load of a model is infinite; it went through the queue of the weight store into a message in milliseconds, and round(inf) raised in each planning round. The same holds for a model that no engine is configured for (its route moved) and for engines that are configured without models. Seen in the log that added: unexpected exception in task publish_delays ... OverflowError: cannot convert float infinity to integer Related: such a model counted as the most valuable load, and loads of models with copies elsewhere waited for it.

Change: fleet/service_needs.py leaves requests for such models out of the plan; they have the obstacle no_free_engine.

--- a/src/monsoonhinge/fleet/delay_feed.py
+++ b/src/monsoonhinge/fleet/delay_feed.py
@@ -8,6 +8,7 @@
 
 from monsoonhinge.fleet import store_queue
 from monsoonhinge.fleet import weightstore
+from monsoonhinge.protocol import durations
 from monsoonhinge.protocol import fleet
 
 # Interval at which the delays are sent, and sent again.
@@ -63,7 +64,7 @@
             fleet.ModelDelay(
                 service=service,
                 model=model,
-                ready_in_ms=round(ready_in_s * 1000),
+                ready_in_ms=durations.to_ms(ready_in_s),
             )
             for service, by_model in self._delays.items()
             for model, ready_in_s in by_model.items()
--- a/src/monsoonhinge/fleet/permits.py
+++ b/src/monsoonhinge/fleet/permits.py
@@ -1,9 +1,9 @@
 """Gives out the permits for requests to targets that name a rate limit."""
 
 from collections.abc import Callable
-import math
 
 from monsoonhinge.fleet import rate_limits
+from monsoonhinge.protocol import durations
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import events
@@ -54,7 +54,7 @@
                 step="permit",
             )
         wait_s = self._limits.take(message.target, now)
-        return fleet.Permit(wait_us=math.ceil(wait_s * 1e6))
+        return fleet.Permit(wait_us=durations.to_us(wait_s))
 
     def snapshot(self, now: float) -> fleet.RateLimits:
         """Returns the limits in force, for a new subscriber."""
--- a/src/monsoonhinge/fleet/placement.py
+++ b/src/monsoonhinge/fleet/placement.py
@@ -18,6 +18,7 @@
 from monsoonhinge.fleet import placement_plan
 from monsoonhinge.fleet import replica_targets
 from monsoonhinge.fleet import retirement
+from monsoonhinge.fleet import service_needs
 from monsoonhinge.fleet import store_policy
 from monsoonhinge.fleet import store_queue
 from monsoonhinge.fleet import swap_cost
@@ -38,7 +39,10 @@
     now: float,
 ) -> placement_plan.Plan:
     """Plans the swaps to start now, at most one for each engine."""
-    planner = _Planner(service, fleet, needs, store, now)
+    selected = service_needs.ServiceNeeds.from_demand(
+        needs, service=service, fleet=fleet
+    )
+    planner = _Planner(fleet, selected, store, now)
     planner.fill_empty_engines(from_store=False)
     planner.load_for_streams()
     planner.load_waiting()
@@ -55,21 +59,14 @@
 
     def __init__(
         self,
-        service: str,
         fleet: Sequence[engines.Engine],
-        needs: Mapping[demand.ModelKey, demand.Need],
+        needs: service_needs.ServiceNeeds,
         store: placement_plan.StoreState,
         now: float,
     ) -> None:
-        self.service = service
         self.fleet = fleet
         self.now = now
-        versions = {item.registration.software_version for item in fleet}
-        self.needs = {
-            key.model: need.at_versions(versions)
-            for key, need in needs.items()
-            if key.service == service
-        }
+        self.needs = needs.loadable
         self.available = {
             engine.target: engine
             for engine in fleet
@@ -127,6 +124,9 @@
                 self.replica_counts[model] for model in self.desired
             ),
             desired_replicas=sum(self.desired.values()),
+            obstacles=dict.fromkeys(
+                needs.waiting_in_vain, placement_plan.Obstacle.NO_ENGINE
+            ),
         )
 
     def load_waiting(self) -> None:
--- a/src/monsoonhinge/fleet/placement_feed.py
+++ b/src/monsoonhinge/fleet/placement_feed.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from monsoonhinge.fleet import engine as engines
+from monsoonhinge.protocol import durations
 from monsoonhinge.protocol import fleet
 
 # Minimum interval between updates of the running counts to gateways.
@@ -96,7 +97,7 @@
             fleet.PlacedModel(
                 name=name,
                 state=replica.state,
-                ready_in_ms=max(0, round((replica.ready_at - now) * 1000))
+                ready_in_ms=durations.to_ms(replica.ready_at - now)
                 if replica.state == engines.LOADING
                 else 0,
                 adapters=sorted(replica.adapters),
--- a/src/monsoonhinge/fleet/placement_plan.py
+++ b/src/monsoonhinge/fleet/placement_plan.py
@@ -11,7 +11,7 @@
 
     Attributes:
         NO_ENGINE: No engine that may load the model is free to carry out an
-            order.
+            order, or there is none.
         NO_EVICTION: On each free engine the memory is taken by models that may
             not be evicted.
         STORE: The free engines have no cached copy, and no load from the
--- a/src/monsoonhinge/fleet/quarantines.py
+++ b/src/monsoonhinge/fleet/quarantines.py
@@ -5,6 +5,7 @@
 
 from monsoonhinge.fleet import crash_evidence
 from monsoonhinge.fleet import metrics
+from monsoonhinge.protocol import durations
 from monsoonhinge.protocol import fleet
 from monsoonhinge.runtime import events
 
@@ -56,7 +57,7 @@
             quarantines=[
                 fleet.PromptQuarantine(
                     parts=sorted(item.parts),
-                    for_ms=int((item.until - now) * 1000),
+                    for_ms=durations.to_ms(item.until - now),
                 )
                 for item in self._evidence.active(now)
             ],
--- a/src/monsoonhinge/fleet/stream_origins.py
+++ b/src/monsoonhinge/fleet/stream_origins.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from monsoonhinge.protocol import durations
 from monsoonhinge.protocol import fleet
 from monsoonhinge.targets import software_versions
 
@@ -56,7 +57,7 @@
         sole = versions.sole_version(request.service, now)
         if sole is not None:
             found.sole_version = sole.software_version
-            found.sole_for_ms = int(sole.for_s * 1000)
+            found.sole_for_ms = durations.to_ms(sole.for_s)
         entry = self._entries.get(request.stream)
         if entry is not None and now < entry.expires_at:
             found.recorded = True
