Let members that are gone give up their votes in the promised time

Cause: a member that stops hands over its leadership and keeps its vote. A silent voter was replaced after 5 s, whatever catchUpS says (4 s), and a new leader counted the silence of its predecessor from its own election. State dumps on: two old identities are candidates in one term for good, the successor is a learner, the voters are the five old members. By reading: a learner that had caught up and was lost could be promoted.

Change: a stopping voter resigns. The leader promotes a learner that has caught up and replies, then removes the voter, which waits 2.5 s at most; so two losses are borne in between. Without a spare nothing changes at a restart.

--- a/src/monsoonhinge/consensus/election.py
+++ b/src/monsoonhinge/consensus/election.py
@@ -12,12 +12,14 @@
 
     Attributes:
         leader_seen_at: Time of the last message from a leader.
+        last_leader_id: Member that sent it, or "".
         deadline: Time at which the election timer fires and a voter starts a
             pre-vote.
     """
 
     def __init__(self, state: raft_state.State, *, now: float) -> None:
         self.leader_seen_at = -math.inf
+        self.last_leader_id = ""
         self.deadline = 0.0
         self._state = state
         self._votes: set[str] = set()
@@ -32,9 +34,10 @@
         timeout = self._state.timing.election_timeout_s
         self.deadline = now + self._state.rng.uniform(timeout, 2 * timeout)
 
-    def record_leader_message(self, now: float) -> None:
+    def record_leader_message(self, leader_id: str, now: float) -> None:
         """Records a message from the leader and restarts the timer."""
         self.leader_seen_at = now
+        self.last_leader_id = leader_id
         self.reset_timer(now)
 
     def is_voter(self) -> bool:
--- a/src/monsoonhinge/consensus/leader.py
+++ b/src/monsoonhinge/consensus/leader.py
@@ -99,6 +99,12 @@
             or now - self.progress[voter].last_seen_at <= timeout
         }
 
+    def record_last_seen(self, member_id: str, at: float) -> None:
+        """Records when a member was last heard of before this term."""
+        progress = self.progress.get(member_id)
+        if progress is not None:
+            progress.last_seen_at = min(progress.last_seen_at, at)
+
     def seconds_since_last_seen(self, member_id: str, now: float) -> float:
         """Returns the time since a member last replied; 0.0 if not known."""
         progress = self.progress.get(member_id)
@@ -122,6 +128,13 @@
             )
         )
 
+    def can_become_voter(self, member_id: str, now: float) -> bool:
+        """Returns whether a member has caught up and replied just now."""
+        timeout = self._state.timing.election_timeout_s
+        return self.is_caught_up(member_id) and (
+            self.seconds_since_last_seen(member_id, now) <= timeout
+        )
+
     def transfer_leadership(self, now: float) -> bool:
         """Starts a leadership transfer to the most up-to-date live voter.
 
--- a/src/monsoonhinge/consensus/raft.py
+++ b/src/monsoonhinge/consensus/raft.py
@@ -213,7 +213,7 @@
             return
         if message.term > state.term or state.leader != message.leader:
             self._become_follower(message.term, now, leader=message.leader)
-        self._election.record_leader_message(now)
+        self._election.record_leader_message(message.leader, now)
         if isinstance(message, messages.AppendRequest):
             self._follower.handle_append(message)
         else:
@@ -256,3 +256,6 @@
         self.state.role = types.Role.LEADER
         self.state.leader = self.state.member_id
         self.leadership = raft_leader.Leader(self.state, now=now)
+        self.leadership.record_last_seen(
+            self._election.last_leader_id, self._election.leader_seen_at
+        )
--- a/src/monsoonhinge/control/members.py
+++ b/src/monsoonhinge/control/members.py
@@ -149,6 +149,20 @@
             )
         await self._driver.change_configuration(changed)
 
+    async def replace_voter(self, member_id: str) -> None:
+        """Replaces a voter that stops by a member that has caught up.
+
+        Raises:
+            errors.MonsoonhingeError: It is not possible now.
+        """
+        raise types.ChangeRefused("the operator chooses the voters")
+
+    async def resign(self) -> None:
+        """Lets another member vote in place of this one, before a stop.
+
+        Does nothing here, since the operator chooses the voters.
+        """
+
     def has_enough_voters(self) -> bool:
         """Returns whether a commit survives the tolerated member losses.
 
@@ -162,8 +176,10 @@
         leadership = self._driver.raft.leadership
         if leadership is None:
             return
+        now = asyncio.get_running_loop().time()
         changed = membership.next_configuration(
-            self._driver.configuration, leadership.is_caught_up
+            self._driver.configuration,
+            lambda member: leadership.can_become_voter(member, now),
         )
         if changed is not None:
             await self._driver.change_configuration(changed)
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -131,7 +131,7 @@
         self.supervisor.start("exit_on_failure", self._exit_on_failure)
 
     async def finish(self) -> None:
-        """Transfers the leadership if possible and waits for the new leader.
+        """Transfers the leadership and the vote if another member can have it.
 
         Raises:
             errors.MonsoonhingeError: The member failed before the stop.
@@ -141,6 +141,7 @@
         await self.driver.transfer_leadership(
             timeout=2 * self.config.election_timeout_s
         )
+        await self.membership.resign()
 
     async def stop(self) -> None:
         """Cancels all tasks and closes connections and files."""
@@ -251,6 +252,9 @@
             case messages.RemoveMember():
                 await self.membership.remove(message)
                 return messages.Ack()
+            case messages.ResignVoter():
+                await self.membership.replace_voter(message.member)
+                return messages.Ack()
             case _:
                 raise errors.ProtocolError(
                     f"unexpected message {type(message).__name__}",
--- a/src/monsoonhinge/control/seeding.py
+++ b/src/monsoonhinge/control/seeding.py
@@ -1,15 +1,20 @@
 """Automatic cluster formation from seed addresses."""
 
 import asyncio
+from collections.abc import Callable
+import functools
 import logging
 
 from monsoonhinge.consensus import driver as raft_driver
+from monsoonhinge.consensus import leader
 from monsoonhinge.consensus import membership
 from monsoonhinge.consensus import transport as raft_transport
+from monsoonhinge.consensus import types
 from monsoonhinge.control import members as control_members
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
+from monsoonhinge.runtime import events
 from monsoonhinge.runtime import settings
 from monsoonhinge.runtime import supervision
 
@@ -20,9 +25,13 @@
 # may have been replaced.
 _REJOIN_AFTER_S = 2.0
 
-# A voter that is unresponsive for this long is replaced by a member that has
-# caught up.
-_REPLACE_VOTER_AFTER_S = 5.0
+# Part of the catch-up time for which a voter is unresponsive before a member
+# that has caught up replaces it. The rest covers an election and the changes.
+_UNRESPONSIVE_FRACTION = 0.5
+
+# Longest time for which a stop waits for a member that replaces this voter.
+RESIGN_TIMEOUT_S = 2.5
+_RESIGN_RETRY_S = 0.05
 
 # A new leader waits this long for enough voters to tolerate the configured
 # losses. It then accepts changes without them, because the missing members may
@@ -60,6 +69,7 @@
         self._seed_config = config
         self._leader_seen_at = 0.0
         self._leader_since: float | None = None
+        self._resigning = False
         self._supervisor = supervision.Supervisor()
 
     async def bootstrap(self) -> None:
@@ -77,29 +87,89 @@
         if leadership is None:
             return
         now = asyncio.get_running_loop().time()
-        live = leadership.live_voters(now)
         changed = membership.next_automatic_configuration(
             self._driver.configuration,
-            is_caught_up=leadership.is_caught_up,
+            is_caught_up=lambda member: leadership.can_become_voter(
+                member, now
+            ),
             is_unresponsive=lambda member: (
                 leadership.seconds_since_last_seen(member, now)
-                > _REPLACE_VOTER_AFTER_S
-            ),
-            count_live_voters=lambda configuration: len(
-                live.intersection(configuration.voters)
+                > unresponsive_after_s(self._seed_config.catch_up_s)
             ),
+            count_live_voters=_live_voter_count(leadership, now),
             desired_voter_count=self._desired_voter_count,
         )
         if changed is not None:
-            _LOG.info(
-                "changing the cluster membership",
-                extra={
-                    "event": "members_changed",
-                    "voters": changed.voters,
-                    "members": changed.member_ids,
-                },
+            await self._change(changed, reason="automatic")
+
+    async def replace_voter(self, member_id: str) -> None:
+        """Promotes a member that has caught up, then removes a voter.
+
+        Raises:
+            errors.MonsoonhingeError: It is not possible now.
+        """
+        while True:
+            leadership = self._driver.raft.require_leadership("replace voter")
+            now = asyncio.get_running_loop().time()
+            changed = membership.next_resignation(
+                self._driver.configuration,
+                member_id,
+                is_caught_up=functools.partial(
+                    leadership.can_become_voter, now=now
+                ),
+                count_live_voters=_live_voter_count(leadership, now),
+                desired_voter_count=self._desired_voter_count,
             )
-            await self._driver.change_configuration(changed)
+            if changed is None:
+                return
+            await self._change(changed, reason="resignation")
+
+    async def resign(self) -> None:
+        """Lets a member that has caught up vote in place of this one.
+
+        Waits for a bounded time. Without such a member, this one stays a voter
+        while it is down.
+        """
+        self._resigning = True
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + RESIGN_TIMEOUT_S
+        while self._can_be_replaced() and loop.time() < deadline:
+            peer = self._transport.peers.get(self._driver.leader)
+            if peer is not None:
+                try:
+                    await peer.request(
+                        messages.ResignVoter(
+                            member=self._driver.raft.state.member_id
+                        ),
+                        messages.Ack,
+                        timeout=deadline - loop.time(),
+                    )
+                except errors.MonsoonhingeError as error:
+                    _LOG.info("cannot resign as voter: %s", error)
+                else:
+                    _LOG.info("another member votes in place of this one")
+                    return
+            await asyncio.sleep(_RESIGN_RETRY_S)
+
+    def _can_be_replaced(self) -> bool:
+        configuration = self._driver.configuration
+        if self._driver.raft.state.member_id not in configuration.voters:
+            return False
+        surplus = len(configuration.voters) > self._desired_voter_count
+        return surplus or bool(membership.replacements(configuration))
+
+    async def _change(
+        self, changed: types.Configuration, *, reason: str
+    ) -> None:
+        started_at = asyncio.get_running_loop().time()
+        await self._driver.change_configuration(changed)
+        events.emit(
+            events.MEMBERS,
+            reason=reason,
+            voters=changed.voters,
+            members=changed.member_ids,
+            seconds=round(asyncio.get_running_loop().time() - started_at, 3),
+        )
 
     def has_enough_voters(self) -> bool:
         """Returns whether a commit survives the tolerated member losses.
@@ -143,6 +213,8 @@
                     break
 
     def _needs_to_join(self, now: float) -> bool:
+        if self._resigning:
+            return False
         member_id = self._driver.raft.state.member_id
         if self._driver.configuration.get(member_id) is None:
             return True
@@ -165,6 +237,19 @@
             raise
 
 
+def unresponsive_after_s(catch_up_s: float) -> float:
+    """Returns the silence after which a voter may be replaced, in seconds."""
+    return _UNRESPONSIVE_FRACTION * catch_up_s
+
+
+def _live_voter_count(
+    leadership: leader.Leader, now: float
+) -> Callable[[types.Configuration], int]:
+    """Returns a function that counts the live voters of a configuration."""
+    live = leadership.live_voters(now)
+    return lambda configuration: len(live.intersection(configuration.voters))
+
+
 def with_seed_members(config: settings.Control) -> settings.Control:
     """Returns settings in which the seeds are the initial members.
 
--- a/src/monsoonhinge/fleet/process.py
+++ b/src/monsoonhinge/fleet/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 from typing import Any
 
 from monsoonhinge.config import schema
@@ -26,7 +25,6 @@
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import fleet
 from monsoonhinge.protocol import messages
-from monsoonhinge.runtime import errors
 from monsoonhinge.runtime import events
 from monsoonhinge.runtime import service
 from monsoonhinge.runtime import settings
@@ -136,9 +134,11 @@
             task.cancel()
         await asyncio.gather(*self._fleet_tasks, return_exceptions=True)
         self._stop_controller()
-        for lease in (self.lease, self.budgets):
-            with contextlib.suppress(errors.MonsoonhingeError):
-                await lease.release()
+        await asyncio.gather(
+            self.lease.release(),
+            self.budgets.release(),
+            return_exceptions=True,
+        )
         await super().finish()
 
     def reload(self, config: settings.Control) -> None:
--- a/src/monsoonhinge/platform/__main__.py
+++ b/src/monsoonhinge/platform/__main__.py
@@ -10,6 +10,7 @@
 
 from monsoonhinge.fleet import process as fleet_process
 from monsoonhinge.ingress import process as ingress_process
+from monsoonhinge.platform import bounds
 from monsoonhinge.platform import control
 from monsoonhinge.platform import engines
 from monsoonhinge.platform import requests
@@ -65,7 +66,7 @@
 
 
 _ROLES: dict[str, tuple[type[settings.Process], Any]] = {
-    "control": (settings.Control, PlatformControl),
+    "control": (bounds.ControlSettings, PlatformControl),
     "ingress": (settings.Ingress, _make_ingress),
 }
 
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -555,6 +555,16 @@
     port: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class ResignVoter:
+    """Request of a voter that stops to let another member vote in its place.
+
+    ``member`` is its id. The reply is an error if no member has caught up.
+    """
+
+    member: str = ""
+
+
 @dataclasses.dataclass(slots=True)
 class RemoveMember:
     """Removes a control member; ``force`` skips the live-quorum check."""
@@ -618,4 +628,5 @@
     | fleet.StreamOrigins
     | fleet.FindStreamOrigin
     | fleet.FoundStreamOrigin
+    | ResignVoter
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -330,6 +330,10 @@
   port @2 :Int64;
 }
 
+struct ResignVoter {
+  member @0 :Text;
+}
+
 struct RemoveMember {
   name @0 :Text;
   force @1 :Bool;
@@ -566,6 +570,7 @@
     streamOrigins @53 :StreamOrigins;
     findStreamOrigin @54 :FindStreamOrigin;
     foundStreamOrigin @55 :FoundStreamOrigin;
+    resignVoter @56 :ResignVoter;
   }
 }
 
--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -88,6 +88,9 @@
             first time; the seeds then bootstrap the cluster.
         tolerated_losses: With ``seeds``, number of members that may be lost at
             once.
+        catch_up_s: With ``seeds``, time after the start of a member in which it
+            takes over from one that is gone. From then on the cluster bears the
+            tolerated losses again.
         lease_ttl_s: Time to live of leases.
         budget_lease_ttl_s: Time to live of the lease of the token budget. It
             may be shorter than ``lease_ttl_s`` because no orders are sent
@@ -112,6 +115,7 @@
     seeds: list[Address] = []
     first_start: bool = False
     tolerated_losses: Annotated[int, pydantic.Field(ge=0)] = 1
+    catch_up_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
     registrations: Address | None = None
     announce_ms: Annotated[float, pydantic.Field(gt=0)] = 1000.0
     loads_window_s: Annotated[float, pydantic.Field(gt=0)] = 5.0
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -1,5 +1,6 @@
 """Simulated cluster: consensus cores with fake network, disks and clocks."""
 
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import errno
@@ -168,15 +169,23 @@
         min_read_indexes: Lowest index that each read may return, by read id.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        names: Sequence[str] = NAMES,
+        spares: Sequence[str] = (),
+    ) -> None:
+        """Starts the members and the spares, which are not members yet."""
+        self.names = tuple(names)
         self.rng = random.Random(seed)
         self.now = 0.0
         self.drop_rate = 0.0
         self.delay_s = 0.02
-        self.write_completion_rates = dict.fromkeys(NAMES, 0.8)
+        self.write_completion_rates = dict.fromkeys((*names, *spares), 0.8)
         self.paused: set[str] = set()
         self.blocked_links: set[tuple[str, str]] = set()
-        self.disks = {name: FakeDisk() for name in NAMES}
+        self.disks = {name: FakeDisk() for name in (*names, *spares)}
         self.nodes: dict[str, Node] = {}
         self.digest_by_index: dict[int, bytes] = {0: b""}
         self.committed_entries: dict[int, tuple[int, bytes]] = {}
@@ -187,13 +196,13 @@
             tuple[float, int, str, str, types.RaftMessage]
         ] = []
         self._sequence = 0
-        for name in NAMES:
+        for name in names:
             self.start(name)
         self.nodes["a"].core.bootstrap(
             types.Configuration(
                 tuple(
                     types.Member(n, self.nodes[n].storage.identity)
-                    for n in NAMES
+                    for n in names
                 )
             ),
             self.nodes["a"].clock(self.now),
@@ -322,7 +331,7 @@
 
     def start_stopped(self) -> None:
         """Starts every stopped member."""
-        for name in NAMES:
+        for name in self.names:
             if name not in self.nodes:
                 self.start(name)
 
@@ -330,7 +339,7 @@
         """Returns whether all members are voters with their data directory."""
         present = {node.id for node in self.nodes.values()}
         voters = self.committed_configuration.voters
-        return len(voters) == len(NAMES) and present.issuperset(voters)
+        return len(voters) == len(self.names) and present.issuperset(voters)
 
     def run(self, seconds: float) -> None:
         """Advances the simulated time."""
--- a/tests/consensus/test_rules.py
+++ b/tests/consensus/test_rules.py
@@ -273,3 +273,67 @@
     assert leadership.is_caught_up("b/1") and not leadership.is_caught_up("c/1")
     leadership.propose([b""] * (leader.CAUGHT_UP_ENTRIES + 1), 2.0)
     assert not leadership.is_caught_up("b/1")
+
+
+def test_new_leader_counts_the_silence_of_the_last_one_from_its_election() -> (
+    None
+):
+    """Guards against a lost leader that stays a voter for too long."""
+    core = _core()
+    heartbeat = messages.AppendRequest(term=1, leader="c/1")
+    core.step(heartbeat, 1.0)
+    _elect(core, 5.0)
+    leadership = core.leadership
+    assert leadership is not None
+    assert leadership.seconds_since_last_seen("c/1", 5.0) == 4.0
+    assert leadership.seconds_since_last_seen("b/1", 5.0) == 0.0
+    assert leadership.live_voters(5.0) == {"a/1", "b/1"}
+
+
+def test_member_that_has_caught_up_and_is_silent_becomes_a_voter() -> None:
+    """Guards against a vote for a learner that is lost."""
+    core = _leader_with_commit()
+    leadership = core.leadership
+    assert leadership is not None
+    timeout = types.Timing().election_timeout_s
+    assert leadership.can_become_voter("b/1", 2.0 + timeout / 2)
+    assert leadership.is_caught_up("b/1")
+    assert not leadership.can_become_voter("b/1", 2.0 + 2 * timeout)
+
+
+def _voters(*names: str) -> types.Configuration:
+    return types.Configuration(tuple(types.Member(name, "1") for name in names))
+
+
+def _next(
+    configuration: types.Configuration, unresponsive: str
+) -> types.Configuration | None:
+    return membership.next_automatic_configuration(
+        configuration,
+        is_caught_up=lambda member: True,
+        is_unresponsive=lambda member: member == unresponsive,
+        count_live_voters=lambda reduced: len(reduced.voters),
+        desired_voter_count=5,
+    )
+
+
+def test_lost_voter_beyond_the_desired_number_stays() -> None:
+    """Guards against a promoted successor beside a voter that is gone."""
+    wanted = _next(_voters("a", "b", "c", "d", "e", "f"), "e/1")
+    assert wanted == _voters("a", "b", "c", "d", "f")
+    assert _next(_voters("a", "b", "c", "d", "e"), "e/1") is None
+
+
+def test_resignation_uses_the_successor_of_another_voter() -> None:
+    """Guards against a lost voter that stays because its successor is taken."""
+    configuration = membership.add_learner(
+        _voters("a", "b", "c", "d", "e"), types.Member("b", "2")
+    )
+    with pytest.raises(types.ChangeRefused):
+        membership.next_resignation(
+            configuration,
+            "e/1",
+            is_caught_up=lambda member: True,
+            count_live_voters=lambda reduced: len(reduced.voters),
+            desired_voter_count=5,
+        )
