Never send an order on a state of the engine that was not read

Cause: the room of an order is determined on one state of the engine, and the expected order count says which. After three conflicts the order took the higher count from a report without the rest of the report and was sent again: the count of the new state with the room of the old one.

Change: the expected count is fixed when an order begins, and the order is never sent again with another one. A conflict with a higher count ends it as UNKNOWN, and the state is read before anything else is planned; if the report shows that the order itself took effect, the whole report is applied. So a late order makes the engine reject ours, or ours makes the late one void, without any record that can be lost with the engine's object, the lease or the process. With it: one fencing order a channel, since engines may count an order that holds already; a conflict at an eviction has the state read again; no order goes to an engine that is known to be beyond its places.

--- a/src/monsoonhinge/fleet/adapter_loader.py
+++ b/src/monsoonhinge/fleet/adapter_loader.py
@@ -84,8 +84,8 @@
             if model in engine.replicas:
                 engine.replicas[model].adapters.pop(adapter, None)
             return True
-        if outcome is orders.Outcome.STARTED:
-            # The adapter has running requests; the engine refuses other orders
-            # until they end.
+        if outcome in (orders.Outcome.STARTED, orders.Outcome.UNKNOWN):
+            # Either the adapter has running requests, and the engine refuses
+            # other orders until they end; or its state is not the known one.
             self._on_state_unknown(engine)
         return False
--- a/src/monsoonhinge/fleet/orders.py
+++ b/src/monsoonhinge/fleet/orders.py
@@ -18,6 +18,9 @@
 # A report can be this much older than the state of the engine.
 _MAX_REPORT_AGE_S = 0.25
 
+# Conflicts after which a report is fetched.
+_CONFLICTS_BEFORE_REPORT = 2
+
 _MAX_ATTEMPTS = 12
 _MAX_ADAPTER_ATTEMPTS = 4
 
@@ -29,7 +32,8 @@
         STARTED: The engine is carrying out the order.
         APPLIED: The ordered state is in effect.
         REFUSED: The order was not sent or was rejected; it changed nothing.
-        UNKNOWN: The engine may have carried out the order, or may do so later.
+        UNKNOWN: The engine may have carried out the order, or may do so later,
+            or it has accepted other orders. Its state has to be read again.
     """
 
     STARTED = "started"
@@ -45,8 +49,11 @@
 class Channel:
     """Sends orders to one incarnation of an engine.
 
-    Each order states how many orders the engine has accepted before, so that
-    the engine ignores a delayed order once it has accepted a newer one.
+    Each order states how many orders the engine has accepted before, as the
+    state says from which the order was planned. The engine therefore rejects it
+    if it has carried out a delayed order since, and ignores a delayed order
+    once it has accepted this one. An order is never sent again with another
+    number.
     """
 
     def __init__(
@@ -64,6 +71,8 @@
         self._fencing = fencing
         self._lease_held = lease_held
         self._lock = asyncio.Lock()
+        self._fenced = False
+        self._unanswered: engine_client.Order | None = None
 
     async def synchronize(self) -> bool:
         """Reads the state of the engine; returns whether it is known now.
@@ -85,8 +94,11 @@
         self.engine.busy_while_unknown = first.busy
         if first.busy:
             return False
-        if first.models and not await self._fence(first):
-            return False
+        if first.models and not self._fenced:
+            if not await self._fence(first):
+                return False
+            # Sent once, since engines may count it as an accepted order.
+            self._fenced = True
         await asyncio.sleep(_MAX_REPORT_AGE_S)
         second = await self.fetch_report()
         if second.busy or second.order_count != first.order_count:
@@ -135,14 +147,25 @@
         """
         max_attempts = _MAX_ADAPTER_ATTEMPTS if adapter else _MAX_ATTEMPTS
         async with self._lock:
+            expected = self.engine.order_count
+            if expected is None:
+                return self._failed(model, adapter)
+            order = engine_client.Order(
+                load=load,
+                model=model,
+                adapter=adapter,
+                holder=self._holder,
+                fencing=self._fencing,
+                expected_order_count=expected,
+            )
             for attempt in range(max_attempts):
                 self._require_lease()
-                if self.engine.order_count is None:
+                if self.engine.order_count != expected:
                     return self._failed(model, adapter)
-                if load and self.engine.free_bytes() < 0:
-                    # The engine has announced models beyond those planned.
+                if load and _is_overcommitted(self.engine):
+                    # The engine has announced more than was planned.
                     return self._failed(model, adapter)
-                outcome = await self._attempt(load, model, adapter, attempt)
+                outcome = await self._attempt(order, attempt)
                 if outcome is not None:
                     return outcome
         return self._failed(model, adapter)
@@ -154,89 +177,79 @@
         return Outcome.REFUSED
 
     async def _attempt(
-        self, load: bool, model: str, adapter: str, attempt: int
+        self, order: engine_client.Order, attempt: int
     ) -> Outcome | None:
         engine = self.engine
-        expected = engine.order_count or 0
+        item = (order.model, order.adapter)
         try:
             response = await self._client.order(
                 address=engine.registration.address,
                 target=engine.target,
-                order=engine_client.Order(
-                    load=load,
-                    model=model,
-                    adapter=adapter,
-                    holder=self._holder,
-                    fencing=self._fencing,
-                    expected_order_count=expected,
-                ),
+                order=order,
                 timeout_s=_ORDER_TIMEOUT_S,
             )
         except engine_client.NoResponseError as error:
-            self._log_order(
-                load, model, adapter, expected, f"unanswered: {error}"
-            )
-            if load:
+            self._log_order(order, f"unanswered: {error}")
+            self._unanswered = order
+            if order.load:
                 engine.unsettled.add(
-                    (model, adapter),
-                    expected_order_count=expected,
+                    item,
+                    expected_order_count=order.expected_order_count,
                     now=asyncio.get_running_loop().time(),
                 )
             await asyncio.sleep(_RETRY_DELAY_S)
             return None
-        self._log_order(load, model, adapter, expected, response.value)
+        self._log_order(order, response.value)
+        accepted_count = order.expected_order_count + 1
         match response:
             case engine_client.OrderResponse.STARTED:
-                engine.accept_order(model, adapter, expected + 1)
+                engine.accept_order(*item, accepted_count)
                 return Outcome.STARTED
             case engine_client.OrderResponse.APPLIED:
                 # The unload of an unused adapter completes at once and counts
                 # as an accepted order.
-                if adapter and not load:
-                    engine.accept_order(model, adapter, expected + 1)
-                elif load:
+                if order.adapter and not order.load:
+                    engine.accept_order(*item, accepted_count)
+                elif order.load:
                     # An earlier attempt without a response has been carried
                     # out, and is not void once another order is accepted.
-                    engine.unsettled.discard((model, adapter))
+                    engine.unsettled.discard(item)
                 return Outcome.APPLIED
             case engine_client.OrderResponse.FENCED:
                 raise LeaseLostError(
                     "engine has seen a higher fencing token", step="order"
                 )
             case engine_client.OrderResponse.CONFLICT:
-                return await self._resolve_conflict(
-                    load, model, adapter, attempt
-                )
+                return await self._resolve_conflict(order, attempt)
             case _:
                 return Outcome.REFUSED
 
-    def _log_order(
-        self, load: bool, model: str, adapter: str, expected: int, outcome: str
-    ) -> None:
+    def _log_order(self, order: engine_client.Order, outcome: str) -> None:
         events.emit(
             events.ORDER,
             target=self.engine.target,
-            load=load,
-            model=model,
-            adapter=adapter,
-            fencing=self._fencing,
-            expected=expected,
+            load=order.load,
+            model=order.model,
+            adapter=order.adapter,
+            fencing=order.fencing,
+            expected=order.expected_order_count,
             outcome=outcome,
         )
 
     async def _resolve_conflict(
-        self, load: bool, model: str, adapter: str, attempt: int
+        self, order: engine_client.Order, attempt: int
     ) -> Outcome | None:
         """Determines the cause of a conflict.
 
         The first conflicts are taken for an order in progress. After that, a
-        report shows the order count, and whether an earlier attempt was
-        carried out.
+        report shows whether the engine has accepted other orders. Its count is
+        never taken without the rest of it, since the room of this order was
+        determined on the state before.
 
         Returns:
             The outcome, or None to send the order again.
         """
-        if attempt < 2:
+        if attempt < _CONFLICTS_BEFORE_REPORT:
             await asyncio.sleep(_RETRY_DELAY_S * (attempt + 1))
             return None
         await asyncio.sleep(_MAX_REPORT_AGE_S)
@@ -244,21 +257,19 @@
             report = await self.fetch_report()
         except engine_client.NoResponseError:
             return None
-        engine = self.engine
-        present = model in report.models
-        if adapter:
-            present = adapter in report.models.get(model, [])
-        expected = engine.order_count or 0
-        engine.order_count = max(expected, report.order_count)
-        if present == load and not report.busy:
+        accepted = report.order_count - order.expected_order_count
+        if accepted < 0:
+            return None
+        if report.busy:
+            # It may be busy with an earlier attempt of this order.
+            may_be_own = accepted == 1 and self._unanswered is order
+            return None if accepted == 0 or may_be_own else Outcome.UNKNOWN
+        if _is_in_effect(order, report):
             # An earlier attempt was carried out although its response was lost.
-            engine.unsettled.discard((model, adapter))
+            self.engine.unsettled.discard((order.model, order.adapter))
+            self.engine.apply_report(report, asyncio.get_running_loop().time())
             return Outcome.APPLIED
-        if engine.unsettled and report.order_count > expected:
-            # An order without a response was carried out in the meantime, so
-            # that the state of the engine has to be read again.
-            return Outcome.UNKNOWN
-        return None
+        return Outcome.UNKNOWN if accepted else None
 
     async def fetch_report(self) -> engine_client.Report:
         """Fetches a report without updating the state of the engine.
@@ -271,3 +282,21 @@
             target=self.engine.target,
             timeout_s=_REPORT_TIMEOUT_S,
         )
+
+
+def _is_in_effect(
+    order: engine_client.Order, report: engine_client.Report
+) -> bool:
+    """Returns whether a report shows the state that an order is to produce."""
+    present = order.model in report.models
+    if order.adapter:
+        present = order.adapter in report.models.get(order.model, [])
+    return present == order.load
+
+
+def _is_overcommitted(engine: engines.Engine) -> bool:
+    """Returns whether more is loaded or planned than there is room for."""
+    return (
+        engine.free_bytes() < 0
+        or engine.adapter_count() > engine.limits.adapter_capacity
+    )
--- a/tests/fleet/test_adapter_loader.py
+++ b/tests/fleet/test_adapter_loader.py
@@ -150,3 +150,46 @@
         now=100.0,
     )
     assert load.eviction == ("m1", "a1")
+
+
+class _ConflictingEngine(_SilentEngine):
+    """Engine that has carried out an order which this member knows not of."""
+
+    async def order(
+        self,
+        *,
+        address: str,
+        target: str,
+        order: engine_client.Order,
+        timeout_s: float,
+    ) -> engine_client.OrderResponse:
+        return engine_client.OrderResponse.CONFLICT
+
+    async def report(
+        self, *, address: str, target: str, timeout_s: float
+    ) -> engine_client.Report:
+        return world.report({"m1": ["a1", "a2"]}, order_count=1)
+
+
+def test_conflict_at_an_eviction_leaves_an_engine_without_orders() -> None:
+    """Guards against an engine whose state is never read again."""
+    engine = world.engine(models=("m1",))
+    engine.replicas["m1"].adapters = {"a1": 0.0}
+    unknown: list[str] = []
+    loader = adapter_loader.AdapterLoader(
+        on_change=lambda: None,
+        on_lease_lost=lambda: None,
+        on_state_unknown=lambda item: unknown.append(item.target),
+    )
+    channel = orders.Channel(
+        engine=engine,
+        client=_ConflictingEngine(),
+        holder="h",
+        fencing=7,
+        lease_held=lambda: True,
+    )
+    load = adapters.AdapterLoad("t1", "m1", "a3", ("m1", "a1"))
+    loader.reserve(engine, load, 0.0)
+    asyncio.run(loader.run(engine, channel, load))
+    assert unknown == ["t1"]
+    assert "a3" not in engine.replicas["m1"].adapters
--- a/tests/fleet/test_engine.py
+++ b/tests/fleet/test_engine.py
@@ -262,3 +262,95 @@
         assert engine.order_count == 3
 
     asyncio.run(run())
+
+
+def test_order_is_sent_again_with_the_count_of_a_state_that_was_not_read() -> (
+    None
+):
+    """Guards against an order beyond the room, after a late one was accepted.
+
+    The room was determined on the state with the count that the order states.
+    """
+    conflict = engine_client.OrderResponse.CONFLICT
+    client = _FakeClient(
+        *[conflict] * 9,
+        reports=[world.report({"m1": ["a9"]}, order_count=1)],
+    )
+    engine = world.engine(models=("m1",))
+    outcome = asyncio.run(
+        _execute(_channel(engine, client), load=True, model="m1", adapter="a1")
+    )
+    assert outcome is orders.Outcome.UNKNOWN
+    assert {order.expected_order_count for order in client.orders} == {0}
+    assert engine.order_count == 0
+
+
+def test_order_that_took_effect_brings_the_count_without_the_state() -> None:
+    """Guards against later orders on a state older than their count."""
+    conflict = engine_client.OrderResponse.CONFLICT
+    client = _FakeClient(
+        None,
+        *[conflict] * 9,
+        reports=[world.report({"m1": ["a1", "a9"]}, order_count=2)],
+    )
+    engine = world.engine(models=("m1",))
+    outcome = asyncio.run(
+        _execute(_channel(engine, client), load=True, model="m1", adapter="a1")
+    )
+    assert outcome is orders.Outcome.APPLIED
+    assert engine.order_count == 2
+    assert set(engine.replicas["m1"].adapters) == {"a1", "a9"}
+
+
+def test_adapter_is_ordered_beyond_the_places_of_an_engine() -> None:
+    """Guards against an order on a state that has filled up meanwhile."""
+    client = _FakeClient(engine_client.OrderResponse.STARTED)
+    engine = world.engine(models=("m1",))
+    places = world.LIMITS.adapter_capacity
+    engine.replicas["m1"].adapters = {f"a{n}": 0.0 for n in range(places + 1)}
+    outcome = asyncio.run(
+        _execute(_channel(engine, client), load=True, model="m1", adapter="a1")
+    )
+    assert outcome is orders.Outcome.REFUSED
+    assert not client.orders
+
+
+def test_fence_that_counts_as_an_order_keeps_the_state_unknown() -> None:
+    """Guards against an engine that gets no orders for good."""
+    applied = engine_client.OrderResponse.APPLIED
+    client = _FakeClient(
+        applied,
+        reports=[
+            world.report({"m1": []}, order_count=3),
+            world.report({"m1": []}, order_count=4),
+        ],
+    )
+    engine = world.engine(models=("m1",))
+    engine.order_count = None
+    channel = _channel(engine, client)
+
+    async def run() -> list[bool]:
+        return [await channel.synchronize() for _ in range(2)]
+
+    assert asyncio.run(run()) == [False, True]
+    assert engine.order_count == 4
+    assert len(client.orders) == 1
+
+
+def test_own_load_in_progress_is_given_up() -> None:
+    """Guards against a load without a response that counts as failed."""
+    conflict = engine_client.OrderResponse.CONFLICT
+    client = _FakeClient(
+        None,
+        *[conflict] * 9,
+        reports=[
+            world.report({}, busy=True, order_count=1),
+            world.report({"m1": []}, order_count=1),
+        ],
+    )
+    engine = world.engine()
+    outcome = asyncio.run(
+        _execute(_channel(engine, client), load=True, model="m1")
+    )
+    assert outcome is orders.Outcome.APPLIED
+    assert engine.order_count == 1
