Handle SIGHUP from the first moment of a process

Cause: the handler was installed after the imports, the settings and the creation of the process, about 0.6 s after its start here, and not before there is room if a control member waits for that on a full disk. Until then SIGHUP ends a process.

Change: platform/__main__.py installs the handler before it imports anything but the standard library; the programs are in platform/programs.py. A signal that comes before the process runs is kept and delivered then, as the settings may have been read before they changed; one after its end no longer ends it. Processes that cannot reload log that they need a restart.

A signal before the first line of the program, and one during the imports of the project's own commands, still end a process.

--- a/src/monsoonhinge/runtime/service.py
+++ b/src/monsoonhinge/runtime/service.py
@@ -20,6 +20,7 @@
 from monsoonhinge.runtime import events
 from monsoonhinge.runtime import logs
 from monsoonhinge.runtime import ops
+from monsoonhinge.runtime import reload_signal
 from monsoonhinge.runtime import settings
 
 EXIT_FAILED = 1
@@ -101,6 +102,7 @@
         event_log: Whether the event log, which then includes all log records,
             is written to standard output.
     """
+    reload_signal.SIGNAL.install()
     try:
         config = settings.read(options.settings, model)
     except errors.SettingsError as error:
@@ -146,16 +148,15 @@
 
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, start_shutdown)
-    if isinstance(process, Reloadable):
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: _reload(process, read_settings)
-        )
     operations = ops.Operations(
         process=_StoppableProcess(process, start_shutdown)
     )
     try:
         await operations.start(config.operations)
         await process.start()
+        reload_signal.SIGNAL.subscribe(
+            lambda: loop.call_soon_threadsafe(_reload, process, read_settings)
+        )
         _LOG.info("started")
         public_settings = config.model_dump(
             mode="json", exclude=_SECRET_SETTINGS
@@ -175,6 +176,7 @@
         _LOG.error("stopping after an error: %s", error)
         return EXIT_FAILED
     finally:
+        reload_signal.SIGNAL.unsubscribe()
         await process.stop()
         await operations.stop()
     _LOG.info("stopped")
@@ -197,8 +199,11 @@
             await asyncio.sleep(_START_RETRY_S)
 
 
-def _reload(process: "Reloadable", read_settings: Callable[[], Any]) -> None:
+def _reload(process: Process, read_settings: Callable[[], Any]) -> None:
     """Applies changed settings; keeps the old ones if they are invalid."""
+    if not isinstance(process, Reloadable):
+        _LOG.warning("changed settings need a restart of this process")
+        return
     try:
         process.reload(read_settings())
     except errors.SettingsError as error:
--- a/tests/platform/test_full_disk.py
+++ b/tests/platform/test_full_disk.py
@@ -7,7 +7,7 @@
 import pytest
 
 from monsoonhinge.consensus import files as storage_files
-from monsoonhinge.platform import __main__ as programs
+from monsoonhinge.platform import programs
 from monsoonhinge.runtime import errors
 from tests.platform import test_path
 from tests.platform import test_translation
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -14,7 +14,7 @@
 import pytest
 
 from monsoonhinge.ingress import process as ingress_process
-from monsoonhinge.platform import __main__ as programs
+from monsoonhinge.platform import programs
 from monsoonhinge.platform import requests
 from monsoonhinge.runtime import settings
 from tests.control import stub
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -4,7 +4,7 @@
 import pathlib
 
 from monsoonhinge.fleet import registry
-from monsoonhinge.platform import __main__ as programs
+from monsoonhinge.platform import programs
 from monsoonhinge.protocol import fleet
 from tests.platform import test_path
 from tests.platform import test_translation
