Let a majority of the seeds bootstrap the cluster

Cause: only the first seed by name bootstrapped, alone, and only once all seeds answered and had no log. No other member took that over.

Change: the seeds choose the first configuration by single-decree Paxos. Each keeps its vote on its disk with the names of the seeds, each may propose, 1 s after the one before, with all seeds at once and with a majority after 2 s. Whoever learns the choice begins its log with it. A bootstrap no longer lowers the term of a member, which could have taken back its vote. Operator-listed members bootstrap as before.

Older builds do not know the votes: all seeds of a first start need this build.

--- a/src/monsoonhinge/consensus/files.py
+++ b/src/monsoonhinge/consensus/files.py
@@ -1,5 +1,6 @@
 """File operations of the storage on one data directory."""
 
+import errno
 import fcntl
 import os
 import pathlib
@@ -7,6 +8,11 @@
 
 from monsoonhinge.runtime import errors
 
+FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+# Ends the names of files that are not complete yet.
+TEMPORARY_SUFFIX = ".tmp"
+
 
 class StorageError(errors.MonsoonhingeError):
     """The data directory cannot be used; the member must stop."""
@@ -48,6 +54,23 @@
         """Makes file creations, renames and removals durable."""
 
 
+def storage_error(step: str, error: OSError) -> StorageError:
+    """Returns the error to raise for a failed file operation."""
+    kind = DiskFullError if error.errno in FULL_ERRORS else StorageError
+    return kind(f"data directory: {error.strerror or error}", step=step)
+
+
+def replace(files: Files, name: str, data: bytes) -> None:
+    """Replaces or creates a file; a crash leaves the old or the new content."""
+    temporary = name + TEMPORARY_SUFFIX
+    if temporary in files.names():
+        files.remove(temporary)
+    files.append(temporary, data)
+    files.sync(temporary)
+    files.rename(temporary, name)
+    files.sync_directory()
+
+
 class Directory:
     """Files of a directory on disk, locked by this process."""
 
--- a/src/monsoonhinge/consensus/raft.py
+++ b/src/monsoonhinge/consensus/raft.py
@@ -60,8 +60,12 @@
         return self.state.log.last_index > 0
 
     def bootstrap(self, configuration: types.Configuration, now: float) -> None:
-        """Starts a new cluster; must be called on only one of its members."""
-        self.state.term = 1
+        """Starts a new cluster.
+
+        All members on which this is called must be given the same
+        configuration, and have an empty log.
+        """
+        self.state.term = max(self.state.term, 1)
         self.state.append(
             messages.Entry(
                 index=1,
--- a/src/monsoonhinge/consensus/storage.py
+++ b/src/monsoonhinge/consensus/storage.py
@@ -5,7 +5,6 @@
 older log files are then removed.
 """
 
-import errno
 import secrets
 import struct
 import zlib
@@ -18,11 +17,8 @@
 _IDENTITY_FILE = "identity"
 _SNAPSHOT_FILE = "snapshot"
 _LOG_PREFIX = "log-"
-_TEMPORARY_SUFFIX = ".tmp"
 _IDENTITY_BYTES = 8
 
-_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
-
 # Magic bytes, last index, last term, and CRC-32 over both and the payload.
 _SNAPSHOT_HEADER = struct.Struct(">4sQQI")
 _SNAPSHOT_MAGIC = b"MhS1"
@@ -60,7 +56,7 @@
         try:
             self._open()
         except OSError as error:
-            raise _storage_error("open", error) from error
+            raise storage_files.storage_error("open", error) from error
 
     def write(self, write: types.Write) -> None:
         """Makes a write durable.
@@ -82,8 +78,10 @@
         try:
             self._discard_partial_write()
             if write.snapshot is not None:
-                self._replace_file(
-                    _SNAPSHOT_FILE, _encode_snapshot(write.snapshot)
+                storage_files.replace(
+                    self._files,
+                    _SNAPSHOT_FILE,
+                    _encode_snapshot(write.snapshot),
                 )
                 self._start_log(record)
             elif (record.term, record.vote) != (
@@ -96,8 +94,8 @@
                 self._log_size += len(data)
         except OSError as error:
             self._has_partial_write = True
-            self._write_failed = error.errno not in _FULL_ERRORS
-            raise _storage_error("write", error) from error
+            self._write_failed = error.errno not in storage_files.FULL_ERRORS
+            raise storage_files.storage_error("write", error) from error
         self.term, self.vote = write.term, write.vote
 
     @property
@@ -108,28 +106,34 @@
         """Removes what an unsuccessful write has left behind."""
         if not self._has_partial_write:
             return
-        names = self._files.names()
-        for name in names:
-            if name.endswith(_TEMPORARY_SUFFIX):
-                self._files.remove(name)
-        if self._log_name in names:
+        self._remove_temporary_files()
+        if self._log_name in self._files.names():
             self._files.truncate(self._log_name, self._log_size)
         self._has_partial_write = False
 
+    def _remove_temporary_files(self) -> None:
+        for name in self._files.names():
+            if name.endswith(storage_files.TEMPORARY_SUFFIX):
+                self._files.remove(name)
+
     def _open(self) -> None:
         names = sorted(self._files.names())
         for name in names:
-            if name.endswith(_TEMPORARY_SUFFIX):
+            if name.endswith(storage_files.TEMPORARY_SUFFIX):
                 self._files.remove(name)
-        names = [n for n in names if not n.endswith(_TEMPORARY_SUFFIX)]
+        names = [
+            n for n in names if not n.endswith(storage_files.TEMPORARY_SUFFIX)
+        ]
         logs = [name for name in names if name.startswith(_LOG_PREFIX)]
         if _IDENTITY_FILE not in names:
             if logs or _SNAPSHOT_FILE in names:
                 raise storage_files.StorageError(
                     "the identity file is missing", step="open"
                 )
-            self._replace_file(
-                _IDENTITY_FILE, secrets.token_hex(_IDENTITY_BYTES).encode()
+            storage_files.replace(
+                self._files,
+                _IDENTITY_FILE,
+                secrets.token_hex(_IDENTITY_BYTES).encode(),
             )
         self.identity = self._files.read(_IDENTITY_FILE).decode()
         if _SNAPSHOT_FILE in names:
@@ -204,32 +208,20 @@
             name for name in self._files.names() if name.startswith(_LOG_PREFIX)
         ]
         data = records.encode(record, offset=0)
-        self._replace_file(_log_name(self._log_number + 1), data)
+        storage_files.replace(
+            self._files, _log_name(self._log_number + 1), data
+        )
         self._log_number += 1
         self._log_size = len(data)
         for name in old_names:
             if name != self._log_name:
                 self._files.remove(name)
 
-    def _replace_file(self, name: str, data: bytes) -> None:
-        temporary = name + _TEMPORARY_SUFFIX
-        self._files.append(temporary, data)
-        self._files.sync(temporary)
-        self._files.rename(temporary, name)
-        self._files.sync_directory()
-
 
 def _log_name(number: int) -> str:
     return f"{_LOG_PREFIX}{number:010}"
 
 
-def _storage_error(step: str, error: OSError) -> storage_files.StorageError:
-    kind = storage_files.StorageError
-    if error.errno in _FULL_ERRORS:
-        kind = storage_files.DiskFullError
-    return kind(f"data directory: {error.strerror or error}", step=step)
-
-
 def _snapshot_checksum(last_index: int, last_term: int, payload: bytes) -> int:
     position = _SNAPSHOT_POSITION.pack(last_index, last_term)
     return zlib.crc32(payload, zlib.crc32(position))
--- a/src/monsoonhinge/control/members.py
+++ b/src/monsoonhinge/control/members.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from monsoonhinge.consensus import ballots
 from monsoonhinge.consensus import driver as raft_driver
 from monsoonhinge.consensus import membership
 from monsoonhinge.consensus import transport as raft_transport
@@ -157,6 +158,16 @@
         """
         raise types.ChangeRefused("the operator chooses the voters")
 
+    def vote_on_bootstrap(
+        self, request: ballots.Request
+    ) -> messages.BootstrapVote:
+        """Votes on the first configuration of a cluster that seeds form.
+
+        Raises:
+            errors.MonsoonhingeError: This member has no vote.
+        """
+        raise types.ChangeRefused("the operator lists the members")
+
     async def resign(self) -> None:
         """Lets another member vote in place of this one, before a stop.
 
--- a/src/monsoonhinge/control/process.py
+++ b/src/monsoonhinge/control/process.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+from monsoonhinge.consensus import ballots
 from monsoonhinge.consensus import driver as raft_driver
 from monsoonhinge.consensus import files as storage_files
 from monsoonhinge.consensus import storage as raft_storage
@@ -63,6 +64,9 @@
         self.files = storage_files.Directory(config.data_dir)
         try:
             storage = raft_storage.Storage(self.files)
+            acceptor = ballots.Acceptor.open(
+                self.files, seeds=seeding.first_seeds(config)
+            )
         except errors.MonsoonhingeError:
             self.files.close()
             raise
@@ -82,18 +86,7 @@
             snapshot_entries=config.snapshot_entries,
             rng=random.Random(),
         )
-        manager_type = (
-            seeding.SeededMembershipManager
-            if config.seeds
-            else control_members.MembershipManager
-        )
-        self.membership: control_members.MembershipManager = manager_type(
-            config=config,
-            identity=storage.identity,
-            driver=self.driver,
-            transport=self.transport,
-            connect_as=self.identity,
-        )
+        self.membership = self._make_membership(storage.identity, acceptor)
         self.leader_tasks = leader_tasks.LeaderTasks(
             config=config,
             driver=self.driver,
@@ -106,6 +99,26 @@
         self.server = endpoint.Server(identity=self.identity, handler=self)
         self.supervisor = supervision.Supervisor()
 
+    def _make_membership(
+        self, identity: str, acceptor: ballots.Acceptor | None
+    ) -> control_members.MembershipManager:
+        if self.config.seeds:
+            return seeding.SeededMembershipManager(
+                config=self.config,
+                identity=identity,
+                driver=self.driver,
+                transport=self.transport,
+                connect_as=self.identity,
+                acceptor=acceptor,
+            )
+        return control_members.MembershipManager(
+            config=self.config,
+            identity=identity,
+            driver=self.driver,
+            transport=self.transport,
+            connect_as=self.identity,
+        )
+
     @classmethod
     def from_config(cls, config: settings.Control) -> "ControlProcess":
         """Creates the process from its settings."""
@@ -252,6 +265,8 @@
             case messages.RemoveMember():
                 await self.membership.remove(message)
                 return messages.Ack()
+            case messages.PrepareBootstrap() | messages.AcceptBootstrap():
+                return self.membership.vote_on_bootstrap(message)
             case messages.ResignVoter():
                 await self.membership.replace_voter(message.member)
                 return messages.Ack()
--- a/src/monsoonhinge/control/seeding.py
+++ b/src/monsoonhinge/control/seeding.py
@@ -5,12 +5,14 @@
 import functools
 import logging
 
+from monsoonhinge.consensus import ballots
 from monsoonhinge.consensus import driver as raft_driver
 from monsoonhinge.consensus import leader
 from monsoonhinge.consensus import membership
 from monsoonhinge.consensus import transport as raft_transport
 from monsoonhinge.consensus import types
 from monsoonhinge.control import members as control_members
+from monsoonhinge.control import seed_bootstrap
 from monsoonhinge.protocol import connection
 from monsoonhinge.protocol import messages
 from monsoonhinge.runtime import errors
@@ -44,10 +46,9 @@
 class SeededMembershipManager(control_members.MembershipManager):
     """Bootstraps the cluster from seeds, joins it and replaces lost members.
 
-    Only the first seed bootstraps the cluster, only at the first start of the
-    whole system, and only once all seeds are reachable and have no log. A
-    member whose disk was lost has a new identity, so it votes again only after
-    it has caught up.
+    Only seeds bootstrap the cluster, and only those that took part in the first
+    start of the whole system and still have their disk. A member whose disk was
+    lost has a new identity, so it votes again only after it has caught up.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         driver: raft_driver.Driver,
         transport: raft_transport.Transport,
         connect_as: connection.Identity,
+        acceptor: ballots.Acceptor | None,
     ) -> None:
         super().__init__(
             config=with_seed_members(config),
@@ -67,6 +69,7 @@
             connect_as=connect_as,
         )
         self._seed_config = config
+        self._acceptor = acceptor
         self._leader_seen_at = 0.0
         self._leader_since: float | None = None
         self._resigning = False
@@ -74,13 +77,37 @@
 
     async def bootstrap(self) -> None:
         """Bootstraps a new cluster if necessary and keeps this member in it."""
-        if self._seed_config.first_start:
-            self._supervisor.start("bootstrap", super().bootstrap)
+        if self._acceptor is not None:
+            process = seed_bootstrap.SeedBootstrap(
+                own=types.Member(
+                    name=self._seed_config.node,
+                    identity=self._identity,
+                    host=self._seed_config.node,
+                    port=self._seed_config.listen.port,
+                ),
+                acceptor=self._acceptor,
+                driver=self._driver,
+                transport=self._transport,
+            )
+            self._supervisor.start("bootstrap", process.run)
         try:
             await self._rejoin_when_needed()
         finally:
             self._supervisor.cancel()
 
+    def vote_on_bootstrap(
+        self, request: ballots.Request
+    ) -> messages.BootstrapVote:
+        """Votes on the first configuration of a new cluster.
+
+        Raises:
+            errors.MonsoonhingeError: This member has no vote, or belongs to a
+                cluster already.
+        """
+        if self._acceptor is None or self._driver.raft.is_bootstrapped:
+            raise types.ChangeRefused("this member has no vote on a bootstrap")
+        return self._acceptor.answer(request)
+
     async def update_membership(self) -> None:
         """Adds voters and replaces lost members; called on the leader."""
         leadership = self._driver.raft.leadership
@@ -237,6 +264,12 @@
             raise
 
 
+def first_seeds(config: settings.Control) -> list[str]:
+    """Returns the names of all seeds if this is one at the first start."""
+    names = [member.name for member in with_seed_members(config).members]
+    return names if config.first_start and config.node in names else []
+
+
 def unresponsive_after_s(catch_up_s: float) -> float:
     """Returns the silence after which a voter may be replaced, in seconds."""
     return _UNRESPONSIVE_FRACTION * catch_up_s
--- a/src/monsoonhinge/protocol/messages.py
+++ b/src/monsoonhinge/protocol/messages.py
@@ -565,6 +565,39 @@
     member: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class PrepareBootstrap:
+    """Starts a ballot on the first configuration of a cluster."""
+
+    round: int = 0
+    proposer: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class AcceptBootstrap:
+    """Proposes a configuration in a ballot that a majority has promised."""
+
+    round: int = 0
+    proposer: str = ""
+    configuration: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class BootstrapVote:
+    """State of a seed as an acceptor, after a request of a proposer.
+
+    ``seeds`` are the names of all acceptors. The promised ballot is the highest
+    one seen; ``configuration`` was accepted in the accepted ballot.
+    """
+
+    seeds: list[str] = dataclasses.field(default_factory=list)
+    promised_round: int = 0
+    promised_proposer: str = ""
+    accepted_round: int = 0
+    accepted_proposer: str = ""
+    configuration: bytes = b""
+
+
 @dataclasses.dataclass(slots=True)
 class RemoveMember:
     """Removes a control member; ``force`` skips the live-quorum check."""
@@ -629,4 +662,7 @@
     | fleet.FindStreamOrigin
     | fleet.FoundStreamOrigin
     | ResignVoter
+    | PrepareBootstrap
+    | AcceptBootstrap
+    | BootstrapVote
 )
--- a/src/monsoonhinge/protocol/schema.capnp
+++ b/src/monsoonhinge/protocol/schema.capnp
@@ -334,6 +334,26 @@
   member @0 :Text;
 }
 
+struct PrepareBootstrap {
+  round @0 :Int64;
+  proposer @1 :Text;
+}
+
+struct AcceptBootstrap {
+  round @0 :Int64;
+  proposer @1 :Text;
+  configuration @2 :Data;
+}
+
+struct BootstrapVote {
+  seeds @0 :List(Text);
+  promisedRound @1 :Int64;
+  promisedProposer @2 :Text;
+  acceptedRound @3 :Int64;
+  acceptedProposer @4 :Text;
+  configuration @5 :Data;
+}
+
 struct RemoveMember {
   name @0 :Text;
   force @1 :Bool;
@@ -571,6 +591,9 @@
     findStreamOrigin @54 :FindStreamOrigin;
     foundStreamOrigin @55 :FoundStreamOrigin;
     resignVoter @56 :ResignVoter;
+    prepareBootstrap @57 :PrepareBootstrap;
+    acceptBootstrap @58 :AcceptBootstrap;
+    bootstrapVote @59 :BootstrapVote;
   }
 }
 
--- a/tests/consensus/test_rules.py
+++ b/tests/consensus/test_rules.py
@@ -337,3 +337,43 @@
             count_live_voters=lambda reduced: len(reduced.voters),
             desired_voter_count=5,
         )
+
+
+def test_bootstrap_does_not_take_back_a_vote() -> None:
+    """Guards against two leaders of a term among members that bootstrap."""
+    core = raft.Raft(
+        member_id="a/1",
+        term=2,
+        vote="b/1",
+        snapshot=types.Snapshot(),
+        entries=[],
+        timing=types.Timing(),
+        rng=random.Random(1),
+        now=0.0,
+    )
+    core.bootstrap(_CONFIGURATION, 0.0)
+    assert (core.state.term, core.state.vote) == (3, "a/1")
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_members_that_bootstrap_alike_form_one_cluster(seed: int) -> None:
+    """Guards against lost entries if several members bootstrap at once."""
+    simulated = cluster.Cluster(seed)
+    rng = random.Random(seed)
+    configuration = simulated.nodes["a"].core.state.log.configuration
+    simulated.drop_rate = rng.choice([0.0, 0.3, 0.6])
+    for name in rng.sample(cluster.NAMES, k=len(cluster.NAMES)):
+        simulated.run(rng.uniform(0.0, 0.5))
+        node = simulated.nodes[name]
+        if not node.core.is_bootstrapped:
+            node.core.bootstrap(configuration, node.clock(simulated.now))
+    simulated.propose([b"first"])
+    simulated.inject_random_faults(40)
+    simulated.drop_rate = 0.0
+    simulated.blocked_links.clear()
+    simulated.start_stopped()
+    simulated.run(8.0)
+    simulated.propose([b"last"])
+    simulated.run(2.0)
+    last = max(simulated.committed_entries)
+    assert simulated.committed_entries[last][1] == b"last"
--- a/tests/control/test_replacement.py
+++ b/tests/control/test_replacement.py
@@ -1,7 +1,6 @@
 """Tests of replaced members with control processes and real disks."""
 
 import asyncio
-from collections.abc import Callable
 import pathlib
 import time
 
@@ -9,116 +8,10 @@
 
 from monsoonhinge.control import process as control_process
 from monsoonhinge.control import seeding
-from monsoonhinge.protocol import codec
-from monsoonhinge.protocol import commands
-from monsoonhinge.runtime import settings
-from tests.control import stub
+from tests.control import seeded_members
 
 _HOSTS = [f"127.0.0.{number}" for number in range(61, 66)]
 _SPARES = [f"127.0.0.{number}" for number in range(66, 69)]
-_CATCH_UP_S = 4.0
-_TIMEOUT_S = 15.0
-
-
-class _Members:
-    """Control members that find each other through seeds."""
-
-    def __init__(self, path: pathlib.Path) -> None:
-        self.path = path
-        self.port = stub.free_port()
-        self.running: dict[str, control_process.ControlProcess] = {}
-        self._disks = 0
-
-    async def start(self, host: str, *, first_start: bool = False) -> None:
-        """Starts a member with an empty disk."""
-        self._disks += 1
-        config = settings.Control.model_validate(
-            {
-                "node": host,
-                "availability_zone": "a",
-                "operations": f"{host}:1",
-                "cluster_secret": "test-cluster-secret",
-                "listen": f"{host}:{self.port}",
-                "data_dir": str(self.path / f"disk-{self._disks}"),
-                "seeds": [f"{seed}:{self.port}" for seed in _HOSTS[:3]],
-                "first_start": first_start,
-                "tolerated_losses": 2,
-                "catch_up_s": _CATCH_UP_S,
-            }
-        )
-        member = control_process.ControlProcess.from_config(config)
-        self.running[host] = member
-        await member.start()
-
-    async def start_all(self) -> None:
-        """Forms the cluster of five voters."""
-        for host in _HOSTS:
-            await self.start(host, first_start=True)
-        await self.wait_for_voters(set(_HOSTS))
-
-    async def kill(self, host: str) -> None:
-        """Ends a member without a warning."""
-        await self.running.pop(host).stop()
-
-    async def stop(self, host: str) -> None:
-        """Ends a member as SIGTERM does."""
-        member = self.running[host]
-        member.drain()
-        await member.finish()
-        await self.kill(host)
-
-    async def lose_disks(self, hosts: list[str]) -> None:
-        """Kills members at once, which come back with empty disks."""
-        for host in hosts:
-            await self.kill(host)
-        await asyncio.sleep(1.0)
-        for host in hosts:
-            await self.start(host)
-
-    def leader(self) -> control_process.ControlProcess | None:
-        """Returns a member that leads, or None."""
-        for member in self.running.values():
-            if member.driver.is_leader:
-                return member
-        return None
-
-    def voters(self) -> set[str]:
-        """Returns the names of the voters as the leader knows them."""
-        leader = self.leader()
-        if leader is None:
-            return set()
-        members = leader.driver.configuration.members
-        return {member.name for member in members if member.voter}
-
-    async def wait_for_voters(self, hosts: set[str]) -> None:
-        """Waits until these members, and no others, are voters."""
-        await _wait_until(lambda: self.voters() == hosts)
-
-    async def wait_for_learner(self, host: str) -> None:
-        """Waits until a member receives the log."""
-        await _wait_until(lambda: bool(self.running[host].driver.leader))
-
-    async def commit(self) -> None:
-        """Commits an entry, at whichever member leads."""
-        command = codec.encode_command(
-            commands.DropCalls(before_ms=int(time.time() * 1000))
-        )
-        await _wait_until(lambda: self.leader() is not None)
-        leader = self.leader()
-        assert leader is not None
-        await leader.driver.propose(command)
-
-    async def stop_all(self) -> None:
-        for host in list(self.running):
-            await self.kill(host)
-
-
-async def _wait_until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(_TIMEOUT_S):
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.05)
 
 
 def test_two_disks_lost_after_a_planned_replacement_end_the_cluster(
@@ -127,7 +20,7 @@
     """Guards against a member that has left and still counts as a voter."""
 
     async def run() -> None:
-        members = _Members(tmp_path)
+        members = seeded_members.Members(tmp_path, _HOSTS)
         try:
             await members.start_all()
             await members.start(_SPARES[0])
@@ -149,7 +42,7 @@
     """Guards against a lost leader that counts as a voter for too long."""
 
     async def run() -> None:
-        members = _Members(tmp_path)
+        members = seeded_members.Members(tmp_path, _HOSTS)
         try:
             await members.start_all()
             leader = members.leader()
@@ -158,7 +51,7 @@
             await members.kill(lost)
             await asyncio.sleep(1.0)
             await members.start(_SPARES[0])
-            await asyncio.sleep(_CATCH_UP_S)
+            await asyncio.sleep(seeded_members.CATCH_UP_S)
             others = [host for host in _HOSTS if host != lost]
             await members.lose_disks(others[:2])
             await members.wait_for_voters({*others, _SPARES[0]})
@@ -175,7 +68,7 @@
     """Guards against stops in quick succession that leave no quorum."""
 
     async def run() -> None:
-        members = _Members(tmp_path)
+        members = seeded_members.Members(tmp_path, _HOSTS)
         try:
             await members.start_all()
             for host in _SPARES:
@@ -200,7 +93,7 @@
     """Guards against stops that wait in vain and voters that are dropped."""
 
     async def run() -> None:
-        members = _Members(tmp_path)
+        members = seeded_members.Members(tmp_path, _HOSTS)
         try:
             await members.start_all()
             host = _HOSTS[4]
