--- a/src/monsoonhinge/runtime/settings.py
+++ b/src/monsoonhinge/runtime/settings.py
@@ -15,7 +15,9 @@
 class StrictModel(pydantic.BaseModel):
     """Base of settings models; unknown fields are errors."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
 
 class Address(StrictModel):
