Withdraw the delays of services that are not planned any more

Callers: requests for models of a service whose planning raises, or that is no longer in the configuration with its engines, go on being refused with the time of long ago, as it is sent to all gateways twice a second.

Cause: the delays of a service were replaced when it was planned and never removed.

Change: each planning round begins without delays.

Evidence: tests/fleet/test_controller.py, two new cases, fail before the change and pass now.

--- a/src/monsoonhinge/fleet/controller.py
+++ b/src/monsoonhinge/fleet/controller.py
@@ -118,6 +118,7 @@
             if service.engine is not None
         }
         planned = not services
+        self._delay_feed.start_round()
         for name, limits in services.items():
             with supervision.contain("plan_service", subject=name):
                 self._plan_service(name, limits, needs, now)
--- a/src/monsoonhinge/fleet/delay_feed.py
+++ b/src/monsoonhinge/fleet/delay_feed.py
@@ -19,7 +19,7 @@
 
 
 class DelayFeed:
-    """Publishes the delays of all services.
+    """Publishes the delays of the services that were planned last.
 
     Attributes:
         fencing: Fencing token of the lease under which models are placed.
@@ -34,6 +34,10 @@
         self._published_at = float("-inf")
         self._published_any = False
 
+    def start_round(self) -> None:
+        """Withdraws the delays of all services that are not planned again."""
+        self._delays.clear()
+
     def record(
         self,
         service: str,
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import pytest
+
 from monsoonhinge.config import ingress
 from monsoonhinge.config import view as config_view
 from monsoonhinge.fleet import controller
@@ -307,3 +309,45 @@
         (world.SERVICE, "m1")
     ]
     assert delays[0].ready_in_ms == 6000
+
+
+@pytest.mark.parametrize("kept", ["no service", "failing service"])
+def test_delays_of_a_service_that_is_not_planned_are_withdrawn(
+    monkeypatch: pytest.MonkeyPatch, kept: str
+) -> None:
+    """Guards against refusals for good on an estimate of long ago."""
+    sent: list[fleet.ModelDelays] = []
+
+    def publish(message: fleet.Placements | fleet.ModelDelays) -> None:
+        if isinstance(message, fleet.ModelDelays):
+            sent.append(message)
+
+    async def run() -> None:
+        tracker = demand.DemandTracker()
+        placer = _controller(_Engines(), tracker, publish)
+        service = ingress.IngressService(
+            name=world.SERVICE, engine=world.LIMITS
+        )
+        objects = {f"ingress_service/{world.SERVICE}": service}
+        view = config_view.View(version=1, objects=objects)
+        loop = asyncio.get_running_loop()
+        placer.reconcile(view, loop.time())
+        await asyncio.sleep(0.4)
+        for number in range(20):
+            tracker.update(_demand(f"m{number}"), loop.time())
+        placer.reconcile(view, loop.time())
+        assert sent[-1].delays
+        if kept == "no service":
+            view = config_view.View(version=2, objects={})
+        else:
+            monkeypatch.setattr(placer, "_plan_service", _fail)
+        await asyncio.sleep(0.6)
+        placer.reconcile(view, loop.time())
+        assert not sent[-1].delays
+        placer.stop()
+
+    asyncio.run(run())
+
+
+def _fail(*_: object) -> None:
+    raise ValueError("cannot be planned")
