Count a leader's wait for voters from its election

Operators: a leader without all the voters that the tolerated losses need refuses each configuration for 8 s; that began with the first change, however long it had led, so the first change after a quiet time was refused for 8 s. If a member led, lost the leadership and led again without a change in between, the time of the first leadership counted, and a change could be confirmed by too few voters.

Cause: the time was recorded when a change asked for it.

Change: the leader's periodic task records it, once for each term.

--- a/src/monsoonhinge/control/seeding.py
+++ b/src/monsoonhinge/control/seeding.py
@@ -71,7 +71,8 @@
         self._seed_config = config
         self._acceptor = acceptor
         self._leader_seen_at = 0.0
-        self._leader_since: float | None = None
+        self._led_term = 0
+        self._leader_since = 0.0
         self._resigning = False
         self._supervisor = supervision.Supervisor()
 
@@ -113,6 +114,7 @@
         leadership = self._driver.raft.leadership
         if leadership is None:
             return
+        self._record_leadership()
         now = asyncio.get_running_loop().time()
         changed = membership.next_automatic_configuration(
             self._driver.configuration,
@@ -203,17 +205,22 @@
 
         Also true once the leader has waited long enough for missing voters.
         """
-        now = asyncio.get_running_loop().time()
         if not self._driver.is_leader:
-            self._leader_since = None
             return False
-        if self._leader_since is None:
-            self._leader_since = now
+        self._record_leadership()
+        now = asyncio.get_running_loop().time()
         return (
             len(self._driver.configuration.voters) >= self._desired_voter_count
             or now - self._leader_since > _WAIT_FOR_VOTERS_S
         )
 
+    def _record_leadership(self) -> None:
+        """Records since when this member has led, once for each term."""
+        term = self._driver.raft.state.term
+        if self._led_term != term:
+            self._led_term = term
+            self._leader_since = asyncio.get_running_loop().time()
+
     @property
     def _desired_voter_count(self) -> int:
         return 2 * self._seed_config.tolerated_losses + 1
