Do not bootstrap from a disk that has come back at another address

By reading: such a member is not among the seeds that its vote names, and its bootstrap would have failed again and again, with a log line each time. It now leaves that to the others and joins. With it, a storage that opens removes temporary files by the function that it has for that. No behaviour measured; tests/consensus/test_storage.py, tests/consensus/test_ballots.py and tests/control/test_first_start.py pass.

--- a/src/monsoonhinge/consensus/storage.py
+++ b/src/monsoonhinge/consensus/storage.py
@@ -117,13 +117,8 @@
                 self._files.remove(name)
 
     def _open(self) -> None:
+        self._remove_temporary_files()
         names = sorted(self._files.names())
-        for name in names:
-            if name.endswith(storage_files.TEMPORARY_SUFFIX):
-                self._files.remove(name)
-        names = [
-            n for n in names if not n.endswith(storage_files.TEMPORARY_SUFFIX)
-        ]
         logs = [name for name in names if name.startswith(_LOG_PREFIX)]
         if _IDENTITY_FILE not in names:
             if logs or _SNAPSHOT_FILE in names:
--- a/src/monsoonhinge/control/seed_bootstrap.py
+++ b/src/monsoonhinge/control/seed_bootstrap.py
@@ -47,6 +47,9 @@
     async def run(self) -> None:
         """Proposes until this member has a log, its own or a received one."""
         seeds = self._acceptor.vote.seeds
+        if self._own.name not in seeds:
+            # The disk has come back at another address.
+            return
         for seed in seeds:
             self._transport.connect(name=seed, host=seed, port=self._own.port)
         loop = asyncio.get_running_loop()
--- a/src/monsoonhinge/control/seeding.py
+++ b/src/monsoonhinge/control/seeding.py
@@ -79,7 +79,7 @@
     async def bootstrap(self) -> None:
         """Bootstraps a new cluster if necessary and keeps this member in it."""
         if self._acceptor is not None:
-            process = seed_bootstrap.SeedBootstrap(
+            bootstrap = seed_bootstrap.SeedBootstrap(
                 own=types.Member(
                     name=self._seed_config.node,
                     identity=self._identity,
@@ -90,7 +90,7 @@
                 driver=self._driver,
                 transport=self._transport,
             )
-            self._supervisor.start("bootstrap", process.run)
+            self._supervisor.start("bootstrap", bootstrap.run)
         try:
             await self._rejoin_when_needed()
         finally:
