--- a/tests/control/seeded_members.py
+++ b/tests/control/seeded_members.py
@@ -1,7 +1,8 @@
 """Control members that find each other through seeds, with real disks."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+import contextlib
 import pathlib
 import time
 
@@ -115,9 +116,18 @@
         assert leader is not None
         await leader.driver.propose(command)
 
-    async def stop_all(self) -> None:
-        for host in list(self.running):
-            await self.kill(host)
+
+@contextlib.asynccontextmanager
+async def running(
+    path: pathlib.Path, hosts: list[str]
+) -> AsyncIterator[Members]:
+    """Yields members, of which none runs yet; stops those that do then."""
+    members = Members(path, hosts)
+    try:
+        yield members
+    finally:
+        for host in list(members.running):
+            await members.kill(host)
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
--- a/tests/control/test_first_start.py
+++ b/tests/control/test_first_start.py
@@ -46,8 +46,7 @@
     """Guards against a first start that waits for a lost seed for good."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             await _start_all(members)
             await asyncio.sleep(after_s)
             await members.kill(lost)
@@ -56,8 +55,6 @@
             hosts = {*_HOSTS, _SPARE} - {lost}
             await members.wait_for_voters(hosts)
             await members.commit()
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
 
@@ -73,8 +70,7 @@
     """
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             for host in _HOSTS[1:]:
                 await members.start(host, first_start=True)
             await members.kill(_HOSTS[1])
@@ -83,8 +79,6 @@
             await members.start(_SPARE)
             await members.wait_for_voters({*_HOSTS[1:], _SPARE})
             await members.commit()
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
 
@@ -95,8 +89,7 @@
     """Guards against a cluster that others cannot know of."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             for host in _HOSTS[2:]:
                 await members.start(host, first_start=True)
             await asyncio.sleep(4.0)
@@ -105,8 +98,6 @@
             await members.wait_for_voters({_HOSTS[0], *_HOSTS[2:]})
             await members.start(_HOSTS[1], first_start=True)
             await members.wait_for_voters(set(_HOSTS))
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
 
@@ -117,8 +108,7 @@
     """Guards against seeds that start late and bootstrap on their own."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             for host in (_HOSTS[2], _HOSTS[1], _HOSTS[0]):
                 await members.start(host, first_start=True)
                 await asyncio.sleep(1.5)
@@ -127,7 +117,5 @@
             await members.wait_for_voters(set(_HOSTS))
             await members.commit()
             await seeded_members.wait_until(lambda: _has_one_cluster(members))
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
--- a/tests/control/test_replacement.py
+++ b/tests/control/test_replacement.py
@@ -20,8 +20,7 @@
     """Guards against a member that has left and still counts as a voter."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             await members.start_all()
             await members.start(_SPARES[0])
             await members.wait_for_learner(_SPARES[0])
@@ -30,8 +29,6 @@
             await members.lose_disks(_HOSTS[1:3])
             await members.wait_for_voters({*_HOSTS[:4], _SPARES[0]})
             await members.commit()
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
 
@@ -42,8 +39,7 @@
     """Guards against a lost leader that counts as a voter for too long."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             await members.start_all()
             leader = members.leader()
             assert leader is not None
@@ -56,8 +52,6 @@
             await members.lose_disks(others[:2])
             await members.wait_for_voters({*others, _SPARES[0]})
             await members.commit()
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
 
@@ -68,8 +62,7 @@
     """Guards against stops in quick succession that leave no quorum."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             await members.start_all()
             for host in _SPARES:
                 await members.start(host)
@@ -80,8 +73,6 @@
                 await members.stop(host)
             await members.wait_for_voters({*_HOSTS[3:], *_SPARES})
             await members.commit()
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
 
@@ -93,8 +84,7 @@
     """Guards against stops that wait in vain and voters that are dropped."""
 
     async def run() -> None:
-        members = seeded_members.Members(tmp_path, _HOSTS)
-        try:
+        async with seeded_members.running(tmp_path, _HOSTS) as members:
             await members.start_all()
             host = _HOSTS[4]
             config = members.running[host].config
@@ -111,7 +101,5 @@
                 await members.start(host)
             await members.wait_for_voters(set(_HOSTS))
             await members.commit()
-        finally:
-            await members.stop_all()
 
     asyncio.run(run())
